--- /dev/null
+++ b/cmd/hollyspur-sim/main.go
@@ -0,0 +1,66 @@
+// Command hollyspur-sim hosts Balancers on the simulator's wire: batches of events on standard
+// input, one reply for each on standard output.
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"hollyspur"
+	"hollyspur/internal/wire"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintf(os.Stderr, "hollyspur-sim: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// run serves batches until the input ends. A reply is written whole or not at all.
+func run(in io.Reader, out io.Writer) error {
+	dec := wire.NewDecoder(in)
+	var reply bytes.Buffer
+	enc := wire.NewEncoder(&reply)
+	hosted := map[int]*hollyspur.Balancer{}
+	var now time.Duration
+	for {
+		m, err := dec.Next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		switch m.Kind {
+		case wire.Sync:
+			now = m.Now
+		case wire.Hello:
+			b, err := hollyspur.New(m.Settings, m.Seed)
+			if err != nil {
+				return fmt.Errorf("hello for instance %d: %w", m.Instance, err)
+			}
+			hosted[m.Instance] = b
+		case wire.Stop:
+			delete(hosted, m.Instance)
+		case wire.Event:
+			b := hosted[m.Instance]
+			if b == nil {
+				return fmt.Errorf("event %T for instance %d before its hello", m.Event, m.Instance)
+			}
+			for _, a := range b.Handle(now, m.Event) {
+				enc.Action(m.Instance, a)
+			}
+		case wire.End:
+			if err := enc.Flush(); err != nil {
+				return err
+			}
+			if _, err := reply.WriteTo(out); err != nil {
+				return err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/hollyspur.go
@@ -0,0 +1,239 @@
+// Package hollyspur decides where a load balancer sends each request, when it tries again and
+// when it gives up. It does no I/O: the host feeds events to a Balancer and carries out the
+// actions it returns. This file is the whole interface; every decision is in policy.go.
+//
+// A Balancer belongs to one goroutine. Its only clock is the now given to Handle, which must
+// never go back, and its only randomness is the seed given to New, so the same events always
+// give the same actions. Balancers share nothing. Memory is held for each request until it is
+// answered and its attempts have ended, and for each server until it has left the list and its
+// attempts have ended.
+package hollyspur
+
+import (
+	"fmt"
+	"time"
+)
+
+// Effect says what happens when a request runs more than once.
+type Effect int
+
+// The zero Effect is the careful one.
+const (
+	Unsafe Effect = iota // must never run twice
+	Keyed                // the servers of one scope discard repeats for a while
+	Safe                 // may run any number of times
+)
+
+// Scope names the servers that discard the repeats of a keyed request.
+type Scope int
+
+// Scopes, from the narrowest.
+const (
+	ScopeCell Scope = iota
+	ScopeZone
+	ScopeAll
+)
+
+// Class describes one class of requests.
+type Class struct {
+	Name      string
+	Effect    Effect
+	Scope     Scope         // for Keyed
+	Window    time.Duration // for Keyed: how long repeats are discarded, from the first send
+	Aim       time.Duration // answers within it earn full worth
+	Deadline  time.Duration // how long a client waits over all its tries
+	LateShare float64       // share of the worth that an answer after the aim earns
+	Worth     float64
+	Stream    bool
+}
+
+// Sizes says what Server.Size means.
+type Sizes int
+
+// Meanings of Server.Size.
+const (
+	SizesUnknown Sizes = iota // nothing
+	SizesNominal              // the registered capacity
+	SizesRough                // about the capacity
+	SizesLive                 // the capacity over the load of a while ago
+)
+
+// Settings are fixed for the life of a Balancer.
+type Settings struct {
+	Classes     []Class
+	Balancers   int     // copies that place calls on this tier
+	Index       int     // of this copy among them, from 0
+	Tier        int     // the tier sent to, 0 being the clients' first
+	WholeWeight float64 // how much the whole of the worth counts when shedding
+	ClassWeight float64 // how much the worst-served class counts when shedding
+
+	MaxAttempts   int
+	SecondCopies  bool // two attempts of a request may be out at once
+	MayCancel     bool
+	Sizes         Sizes
+	AskDiscovery  bool          // the list follows only a Subscribe
+	AskWithin     time.Duration // an unsubscribed copy must ask at least this often
+	Tick          time.Duration // events come no more often than this
+	MaxRetryAfter time.Duration // longest advice that clients heed
+
+	ColdFrom     float64       // share of its capacity that a fresh server has at least
+	WarmAfter    time.Duration // time after which it has all of it
+	FallMultiple float64       // a fresh server sent more than this times its capacity
+	FallFor      time.Duration // for this long falls over
+}
+
+// Validate returns an error that names the setting at fault, or nil.
+func (s Settings) Validate() error {
+	type check struct {
+		name string
+		ok   bool
+	}
+	checks := []check{
+		{"Classes", len(s.Classes) > 0}, {"Balancers", s.Balancers >= 0}, {"Index", s.Index >= 0},
+		{"Tier", s.Tier >= 0}, {"MaxAttempts", s.MaxAttempts >= 0}, {"AskWithin", s.AskWithin >= 0},
+		{"Tick", s.Tick >= 0}, {"MaxRetryAfter", s.MaxRetryAfter >= 0},
+		{"ColdFrom", s.ColdFrom >= 0 && s.ColdFrom <= 1}, {"WarmAfter", s.WarmAfter >= 0},
+		{"FallMultiple", s.FallMultiple >= 0}, {"FallFor", s.FallFor >= 0},
+	}
+	for i, c := range s.Classes {
+		at := fmt.Sprintf("Classes[%d]", i)
+		checks = append(checks, check{at + ".Name", c.Name != ""}, check{at + ".Aim", c.Aim > 0},
+			check{at + ".Deadline", c.Deadline > 0}, check{at + ".Window", c.Window >= 0},
+			check{at + ".Worth", c.Worth >= 0},
+			check{at + ".LateShare", c.LateShare >= 0 && c.LateShare <= 1})
+	}
+	for _, c := range checks {
+		if !c.ok {
+			return fmt.Errorf("hollyspur: setting %s is missing or out of range", c.name)
+		}
+	}
+	return nil
+}
+
+// ServerState is what discovery says of a server.
+type ServerState int
+
+// Server states.
+const (
+	Ready ServerState = iota
+	Draining
+	Gone
+)
+
+// Server is an entry of the discovery list.
+type Server struct {
+	ID    string
+	Zone  string
+	Cell  int
+	State ServerState
+	Size  float64       // as registered, against other servers'; see Settings.Sizes. 0: as 1
+	Boot  time.Duration // clock time of its last start; 0: long ago
+}
+
+// Ending says how an attempt ended.
+type Ending int
+
+// Endings. Overloaded, Unreachable and Void prove that the attempt never ran.
+const (
+	Success Ending = iota
+	Failure
+	Overloaded
+	TimedOut
+	Unreachable
+	Broken
+	Withdrawn
+	Void
+)
+
+// Load is a server's own report, late and noisy. Absent values are negative.
+type Load struct {
+	Busy    float64       // requests it holds
+	Service time.Duration // recent service time without waiting
+}
+
+// Event is something that happened: one of the types below.
+type Event interface{ event() }
+
+type (
+	// ServerList brings news from discovery. Full: the complete list, absent servers are gone.
+	// Otherwise only changed entries. Asked marks an answer to Subscribe.
+	ServerList struct {
+		Full    bool
+		Cached  bool // last held before a restart, possibly out of date
+		Servers []Server
+	}
+	// ListFailed says that a Subscribe failed or that the subscription broke.
+	ListFailed struct{}
+	// Request is a client's request; the Balancer owes it one final answer by Deadline.
+	Request struct {
+		ID       string
+		Class    string
+		Deadline time.Duration // clock time
+		Repeat   bool          // the client marked it as a repeat
+		Cost     time.Duration // hint of its work, as time on a standard core; 0: no hint
+	}
+	// Outcome ends one attempt. Ended: the request has its final answer.
+	Outcome struct {
+		ID      string
+		Attempt int
+		Server  string
+		Ending  Ending
+		Latency time.Duration
+		Ended   bool
+		Load    *Load
+	}
+	// Started says that a streamed answer has begun: the attempt is the client's from here on.
+	Started struct {
+		ID      string
+		Attempt int
+	}
+	// ClientGone says that the client left; nothing more is owed.
+	ClientGone struct{ ID string }
+	// Timer is a Wake come due.
+	Timer struct{ Token string }
+)
+
+func (ServerList) event() {}
+func (ListFailed) event() {}
+func (Request) event()    {}
+func (Outcome) event()    {}
+func (Started) event()    {}
+func (ClientGone) event() {}
+func (Timer) event()      {}
+
+// Action is something the host must do, in the order given: one of the types below.
+type Action interface{ action() }
+
+type (
+	// Send starts the next attempt of a request (numbered from 0); it times out after Timeout.
+	Send struct {
+		ID, Server string
+		Timeout    time.Duration
+	}
+	// Cancel stops waiting for an attempt; its Outcome still comes.
+	Cancel struct {
+		ID      string
+		Attempt int
+	}
+	// Refuse is a final answer that promises that a retry does no harm.
+	Refuse struct {
+		ID         string
+		RetryAfter time.Duration // advice; 0: none
+	}
+	// Fail is a final answer that promises nothing.
+	Fail struct{ ID string }
+	// Wake asks for a Timer with this token at the clock time At.
+	Wake struct {
+		At    time.Duration
+		Token string
+	}
+	// Subscribe asks discovery for the list and its changes.
+	Subscribe struct{}
+)
+
+func (Send) action()      {}
+func (Cancel) action()    {}
+func (Refuse) action()    {}
+func (Fail) action()      {}
+func (Wake) action()      {}
+func (Subscribe) action() {}
--- /dev/null
+++ b/policy.go
@@ -0,0 +1,900 @@
+// Every decision of hollyspur. The interface (settings, events, actions) is in hollyspur.go, the
+// types of what a Balancer remembers in state.go.
+//
+// Sections: constants, events, discovery, requests, the pick, eligibility, health,
+// slow start, further attempts, admission, answers.
+
+package hollyspur
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+// Constants are shares, ratios or counts; every length of time is a setting or was observed.
+const (
+	alpha       = 0.5  // share of the list in the left group
+	memory      = 0.06 // weight of a new sample in pooled averages (about 16 samples)
+	ownMemory   = 0.25 // weight of a new sample in a single server's averages
+	chance      = 0.08 // a run of errors likelier than this by the peers' error share is luck
+	tailSpread  = 3.0  // deviations above the mean at which a wait counts as overlong
+	slowRatio   = 2.5  // times its peers' latency that makes a server slow
+	slowThins   = 2.0  // power of a server's slowness by which its draws are thinned
+	minSamples  = 3    // samples before a server can be called slow
+	mostOut     = 0.2  // share of the list that health may exclude; beyond that all are drawn
+	ejection    = 12   // mean latencies that a first ejection, or a lack of room, lasts
+	maxLevel    = 5    // doublings of an ejection
+	windowFloor = 5.0  // own calls a server that are always admitted
+	retryEarn   = 0.15 // further attempts earned by a success
+	unsentCost  = 0.1  // what a further attempt costs when the last one never ran
+	retryPurse  = 10   // most that can be saved up
+	aimFill     = 0.6  // mean latency over aim that admission lets be at the most
+	busyRatio   = 1.6  // and times the least mean latency over aim that was seen
+	shedding    = 4.0  // part of aimFill given up when all is shed, for each unit of unevenness
+	windowUp    = 0.02 // window gained by an answer in good time
+	windowDown  = 0.1  // window lost by a late one
+	windowStart = 5.0  // own calls admitted per server before anything is known
+	windowLeast = 2.0  // own calls that may be out at once whatever the window
+	crowding    = 2    // own calls, above the mean, at which a server is passed over
+	subsetLeast = 4    // servers that a copy draws from at the least
+	subsetShare = 3.0  // and at the least this many times its fair share of the servers
+)
+
+// New returns a Balancer that knows no servers yet. The error names the setting at fault.
+func New(set Settings, seed uint64) (*Balancer, error) {
+	if err := set.Validate(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
+		servers: map[string]*server{}, requests: map[string]*request{},
+		classes: map[string]*class{}, errors: 0.02, tokens: retryPurse / 2,
+		fill: aimFill / 2, bare: aimFill / 2}
+	longest := set.Classes[0]
+	for _, c := range set.Classes {
+		b.addClass(c)
+		if c.Deadline > longest.Deadline {
+			longest = c
+		}
+	}
+	b.addClass(Class{Aim: longest.Aim, Deadline: longest.Deadline, Worth: longest.Worth})
+	return b, nil
+}
+
+func (b *Balancer) addClass(c Class) {
+	k := &class{Class: c, mean: float64(c.Aim) / 4, dev: float64(c.Aim) / 8}
+	b.classes[c.Name] = k
+	b.order = append(b.order, k)
+}
+
+// ---- Events ----
+
+// Handle takes one event at the clock time now and returns what to do, in order.
+func (b *Balancer) Handle(now time.Duration, e Event) []Action {
+	b.now = max(b.now, now)
+	b.out = nil
+	switch e := e.(type) {
+	case ServerList:
+		b.takeList(e)
+	case ListFailed:
+		b.subFails++
+		b.askAgain()
+	case Request:
+		b.accept(e)
+	case Outcome:
+		b.takeOutcome(e)
+	case Started:
+		b.takeStarted(e)
+	case ClientGone:
+		if r := b.requests[e.ID]; r != nil {
+			b.close(r)
+		}
+	case Timer:
+		b.takeTimer(e)
+	}
+	return b.out
+}
+
+func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
+
+func (b *Balancer) takeTimer(e Timer) {
+	if e.Token == "list" {
+		if b.subWanted > 0 && b.now+b.set.Tick >= b.subWanted {
+			b.subWanted = 0
+			b.do(Subscribe{})
+		}
+		return
+	}
+	if len(e.Token) < 2 || e.Token[:2] != "r:" {
+		return
+	}
+	// A host may round a time down, so a timer can come a hair early: nothing relies on its being
+	// late enough, and a review that finds nothing due yet asks for another.
+	if r := b.requests[e.Token[2:]]; r != nil {
+		if b.now+b.set.Tick >= r.wake {
+			r.wake = 0
+		}
+		b.review(r)
+	}
+}
+
+// wakeAt asks for a review of a request, unless one is due by then already.
+func (b *Balancer) wakeAt(r *request, at time.Duration) {
+	at = max(at, b.now+1)
+	if r.wake > b.now && r.wake <= at {
+		return
+	}
+	r.wake = at
+	b.do(Wake{At: at, Token: "r:" + r.id})
+}
+
+// ---- Discovery ----
+
+// takeList applies news of the servers. A new boot time resets what is known of a server.
+func (b *Balancer) takeList(e ServerList) {
+	if e.Full {
+		for _, s := range b.servers {
+			s.listed = false
+		}
+	}
+	for _, n := range e.Servers {
+		s := b.servers[n.ID]
+		if s == nil {
+			s = &server{}
+			b.servers[n.ID] = s
+		} else if s.Boot != n.Boot {
+			*s = server{calls: s.calls, open: s.open}
+		}
+		s.Server = n
+		s.listed = n.State != Gone
+	}
+	b.ready = b.ready[:0]
+	for id, s := range b.servers {
+		if !s.listed && s.calls == 0 {
+			delete(b.servers, id)
+		} else if s.listed && s.State == Ready {
+			b.ready = append(b.ready, s)
+		}
+	}
+	// The shared order: every copy sorts by id, which all see alike.
+	sort.Slice(b.ready, func(i, j int) bool {
+		x, y := b.ready[i], b.ready[j]
+		if b.size(x) != b.size(y) {
+			return b.size(x) > b.size(y) // a subset of each size, and ties go to the larger
+		}
+		return x.Cell < y.Cell || x.Cell == y.Cell && x.ID < y.ID
+	})
+	cut := int(math.Ceil(alpha * float64(len(b.ready))))
+	for i, s := range b.ready {
+		s.right = i >= cut
+	}
+	b.subset = b.takeSubset()
+	b.largest, b.meanSize = 0, 0
+	for _, s := range b.subset {
+		b.largest = max(b.largest, b.size(s))
+		b.meanSize += b.size(s) / float64(len(b.subset))
+	}
+	if b.window == 0 {
+		b.window = windowStart * b.fairServers()
+	}
+	if e.Cached {
+		b.askAgain()
+	} else {
+		b.subFails = 0
+	}
+	b.release()
+}
+
+// takeSubset keeps a copy to a few servers, evenly from along the shared order, so that all
+// servers are drawn from by equally many copies. Hundreds of copies over the whole list know nothing:
+// their own counts are zero, a sick server is met once a minute, and connections fill its table.
+func (b *Balancer) takeSubset() []*server {
+	n := len(b.ready)
+	size := max(subsetLeast, int(math.Ceil(subsetShare*b.fairServers())))
+	if size >= n || b.set.Balancers <= 1 {
+		return b.ready
+	}
+	var l []*server
+	step := 1
+	for i := range size {
+		// Each block of the order has its own turn of the copies, lest fixed cliques share servers;
+		// a step that divides their number would leave some servers with more of them.
+		turn := (float64(b.set.Index*step%b.set.Balancers) + 0.5) / float64(b.set.Balancers)
+		for step++; gcd(step, b.set.Balancers) > 1; step++ {
+		}
+		l = append(l, b.ready[int((float64(i)+turn)*float64(n)/float64(size))])
+	}
+	return l
+}
+
+func gcd(a, b int) int {
+	for b > 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+// askAgain plans a Subscribe where the list must be asked for. Jitter keeps copies that start, or
+// lose their subscription, together from swamping discovery; the wait doubles with each failure
+// but leaves time for two tries before the copy counts as told what it never heard.
+func (b *Balancer) askAgain() {
+	if !b.set.AskDiscovery {
+		return
+	}
+	most := b.set.AskWithin / 4
+	wait := min(most, most/16<<min(b.subFails, 4))
+	b.subWanted = b.now + time.Duration(b.rng.Float64()*float64(wait)) + 1
+	b.do(Wake{At: b.subWanted, Token: "list"})
+}
+
+// ---- Requests ----
+
+func (b *Balancer) accept(e Request) {
+	if b.requests[e.ID] != nil {
+		return
+	}
+	c := b.classes[e.Class]
+	if c == nil {
+		c = b.order[len(b.order)-1] // unknown: unsafe
+	}
+	r := &request{id: e.ID, class: c, arrived: b.now, deadline: e.Deadline, repeat: e.Repeat,
+		cost: float64(e.Cost)}
+	b.requests[e.ID] = r
+	b.backdate(r)
+	for _, k := range b.order {
+		k.arrive *= 0.99
+		k.serve *= 0.99
+	}
+	c.arrive++
+	b.place(r)
+}
+
+// backdate finds when the client first asked. Tries are all given the same time unless the class's
+// deadline, which runs over all of them, ends sooner: a shorter one tells how much is over already.
+func (b *Balancer) backdate(r *request) {
+	left := r.deadline - b.now
+	r.class.longestTry = max(r.class.longestTry, left)
+	if b.set.Tier == 0 && float64(left) < 0.95*float64(r.class.longestTry) {
+		r.arrived = min(b.now, r.deadline-r.class.Deadline)
+		r.repeat = true
+	}
+}
+
+// place sends a request, or holds it while no server may take it.
+func (b *Balancer) place(r *request) {
+	if r.out == 0 && len(r.attempts) == 0 && b.full() {
+		b.hold(r)
+		return
+	}
+	s := b.choose(r)
+	if s == nil {
+		b.hold(r)
+		return
+	}
+	b.send(r, s)
+}
+
+func (b *Balancer) send(r *request, s *server) {
+	a := &attempt{req: r, srv: s, n: len(r.attempts), sent: b.now, zone: s.Zone, cell: s.Cell}
+	if a.n == 0 {
+		b.shed -= memory / 4 * b.shed
+	}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	b.unhold(r)
+	s.calls++
+	s.open = append(s.open, a)
+	b.inFlight++
+	b.owe(r.class, r.class.mean)
+	b.do(Send{ID: r.id, Server: s.ID, Timeout: max(r.deadline-b.now, b.set.Tick)})
+}
+
+// overlong is the wait for an answer that most of a class's answers stay well under.
+func (b *Balancer) overlong(c *class) time.Duration {
+	return time.Duration(c.mean + tailSpread*c.dev)
+}
+
+// review does whatever has come due for a request.
+func (b *Balancer) review(r *request) {
+	switch {
+	case r.answered || r.streaming:
+	case r.held && b.now >= b.holdUntil(r):
+		b.answer(r)
+	case r.held:
+		b.release()
+		if r.held {
+			b.wakeAt(r, b.heldUntil(r))
+		}
+	}
+}
+
+// hold keeps a request back; its timer makes sure that it is answered.
+func (b *Balancer) hold(r *request) {
+	if b.now >= b.holdUntil(r) {
+		b.answer(r)
+		return
+	}
+	if !r.held {
+		r.held = true
+		b.held = append(b.held, r)
+	}
+	b.wakeAt(r, b.heldUntil(r))
+}
+
+func (b *Balancer) unhold(r *request) {
+	if !r.held {
+		return
+	}
+	r.held = false
+	for i, h := range b.held {
+		if h == r {
+			b.held = append(b.held[:i], b.held[i+1:]...)
+			return
+		}
+	}
+}
+
+// heldUntil is when a held request is looked at again.
+func (b *Balancer) heldUntil(r *request) time.Duration {
+	if p := b.pause(); b.now < p {
+		return min(p, b.holdUntil(r))
+	}
+	return b.holdUntil(r)
+}
+
+// holdUntil is how long holding makes sense: until an answer may well miss the aim, for late answers
+// take the room of those in time. With no server at all a late answer is the best there can be, so
+// then almost until the deadline.
+func (b *Balancer) holdUntil(r *request) time.Duration {
+	last := r.deadline - 2*b.set.Tick
+	if len(b.ready) == 0 {
+		return last
+	}
+	aim := r.class.Aim
+	hold := max(aim/4, aim-time.Duration(r.class.mean+2*r.class.dev))
+	return min(last, r.arrived+hold)
+}
+
+// release sends held requests while there is room, the most valuable first.
+func (b *Balancer) release() {
+	for tries := len(b.held); tries > 0 && len(b.held) > 0 && !b.full(); tries-- {
+		best := b.held[0]
+		for _, r := range b.held[1:] {
+			if b.value(r) >= b.value(best) { // equal: the youngest has most time left
+				best = r
+			}
+		}
+		s := b.choose(best)
+		if s == nil {
+			return
+		}
+		b.send(best, s)
+	}
+}
+
+func (b *Balancer) takeStarted(e Started) {
+	r := b.requests[e.ID]
+	if r == nil {
+		return
+	}
+	r.streaming = true
+	for _, a := range r.attempts {
+		if a.n != e.Attempt {
+			b.cancel(a)
+		}
+	}
+}
+
+func (b *Balancer) cancel(a *attempt) {
+	if !a.ended && b.set.MayCancel {
+		b.do(Cancel{ID: a.req.id, Attempt: a.n})
+	}
+}
+
+func (b *Balancer) takeOutcome(e Outcome) {
+	r := b.requests[e.ID]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].ended {
+		return
+	}
+	a := r.attempts[e.Attempt]
+	a.ended = true
+	a.unsent = e.Ending == Overloaded || e.Ending == Unreachable || e.Ending == Void
+	r.out--
+	b.inFlight--
+	a.srv.calls--
+	for i, o := range a.srv.open {
+		if o == a {
+			// A hung server's waits tell nothing of how crowded the others are.
+			if !b.silent(a.srv) {
+				b.steer(r, e)
+			}
+			a.srv.open = append(a.srv.open[:i], a.srv.open[i+1:]...)
+			break
+		}
+	}
+	b.judge(a, e)
+	if !a.srv.listed && a.srv.calls == 0 && b.servers[a.srv.ID] == a.srv {
+		delete(b.servers, a.srv.ID)
+	}
+	switch {
+	case e.Ended:
+		if e.Ending == Success && !r.answered && b.now <= r.arrived+r.class.Aim {
+			r.class.serve++
+		}
+		b.close(r)
+	case !r.answered && r.out == 0:
+		b.further(r)
+	}
+	b.forget(r)
+	b.release()
+}
+
+// ---- The pick ----
+
+// pick is the design's rule: one server drawn uniformly from each group, the fewer own calls
+// win, equal counts above zero go left, and at zero the side is drawn by the groups' shares.
+// An empty group leaves the draw to the other.
+func (b *Balancer) pick(left, right []*server) *server {
+	if len(left) == 0 || len(right) == 0 {
+		return b.draw(append(left, right...))
+	}
+	l, r := b.draw(left), b.draw(right)
+	switch {
+	case l.calls < r.calls:
+		return l
+	case r.calls < l.calls:
+		return r
+	case l.calls > 0:
+		return l
+	case b.rng.IntN(len(left)+len(right)) < len(left):
+		return l
+	}
+	return r
+}
+
+func (b *Balancer) draw(group []*server) *server {
+	if len(group) == 0 {
+		return nil
+	}
+	return group[b.rng.IntN(len(group))]
+}
+
+// choose keeps the eligible servers of each group and picks.
+func (b *Balancer) choose(r *request) *server {
+	var left, right []*server
+	for _, s := range b.eligible(r) {
+		if s.right {
+			right = append(right, s)
+		} else {
+			left = append(left, s)
+		}
+	}
+	return b.pick(left, right)
+}
+
+// ---- Eligibility ----
+
+// eligible says which ready servers may be drawn for a request: those in its scope that it has not
+// tried, fit, warm enough and, as long as that leaves any, with room. A copy's subset comes first.
+func (b *Balancer) eligible(r *request) (cold []*server) {
+	unfit := b.ruledOut(r)
+	for _, from := range [][]*server{b.subset, b.ready} {
+		for _, limit := range []func(*server) int{b.crowded, b.roomy, unlimited} {
+			warm, idle := b.narrow(r, from, unfit, limit)
+			if warm != nil {
+				return warm
+			}
+			if cold == nil {
+				cold = idle
+			}
+		}
+	}
+	return cold
+}
+
+// ruledOut marks the servers that health keeps out. When many look bad to one node, the fault is
+// likelier its own or the tier below's, and those left would take all the load: only the worst are
+// kept out, up to a set share of the list, and fewer the more is shed: in overload every server is
+// missed, and time-outs show load rather than ill health.
+func (b *Balancer) ruledOut(r *request) map[*server]bool {
+	out := map[*server]bool{}
+	var sick []*server
+	for _, s := range b.ready {
+		if b.unfit(s, r) {
+			sick = append(sick, s)
+		}
+	}
+	sort.SliceStable(sick, func(i, j int) bool { return sick[i].streak > sick[j].streak })
+	most := int(mostOut * (1 - b.shed) * float64(len(b.ready)))
+	for _, s := range sick[:min(len(sick), most)] {
+		out[s] = true
+	}
+	return out
+}
+
+// narrow applies everything but the fallbacks. Apart it gives the idle cold servers: a request's first
+// try may go to one, whatever the thinning, when a deploy has left no warm server in the whole list.
+func (b *Balancer) narrow(r *request, from []*server, unfit map[*server]bool,
+	limit func(*server) int) (warm, idle []*server) {
+	var small []*server
+	for _, s := range from {
+		switch {
+		case unfit[s] || s.calls >= limit(s) || !b.inScope(r, s) || tried(r, s):
+		case b.warmEnough(s) && b.sizeEnough(s):
+			warm = append(warm, s)
+		case b.warmth(s) == 1:
+			small = append(small, s)
+		case s.calls == 0 && len(r.attempts) == 0:
+			idle = append(idle, s)
+		}
+	}
+	if warm == nil {
+		warm = small
+	}
+	return warm, idle
+}
+
+// crowded is the count of own calls at which a server is passed over: uniform draws now and then
+// meet the same few servers twice, and a crowd of several nodes' calls there chokes it. It is never
+// under two, so that the pick, not a search for idle servers, decides between none and one.
+func (b *Balancer) crowded(s *server) int {
+	return min(b.roomy(s), max(crowding, 1+b.inFlight/max(1, len(b.subset))))
+}
+
+// roomy is the count of own calls at which a server is passed over because it refused one more a
+// while ago: its queue or its connections, which other copies hold idle, are full, and refusals
+// come at once and drain its count. It is not ill, so the cap on those ruled out does not apply.
+func (b *Balancer) roomy(s *server) int {
+	if b.now < s.full {
+		return s.room
+	}
+	return math.MaxInt
+}
+
+func unlimited(*server) int { return math.MaxInt }
+
+// tried says that the request has been to the server before.
+func tried(r *request, s *server) bool {
+	for _, a := range r.attempts {
+		if a.srv == s {
+			return true
+		}
+	}
+	return false
+}
+
+// inScope keeps a keyed request that may have run to the servers that discard its repeats.
+func (b *Balancer) inScope(r *request, s *server) bool {
+	if r.class.Effect != Keyed {
+		return true
+	}
+	for _, a := range r.attempts {
+		if a.unsent {
+			continue
+		}
+		if r.class.Scope == ScopeZone && a.zone != s.Zone {
+			return false
+		}
+		if r.class.Scope == ScopeCell && (a.cell != s.Cell || a.zone != s.Zone) {
+			return false
+		}
+	}
+	return true
+}
+
+// ---- Health ----
+
+// unfit says that a server should not be drawn now for its health.
+func (b *Balancer) unfit(s *server, r *request) bool {
+	if b.now < s.until || b.silent(s) {
+		return true
+	}
+	// After an ejection one safe trial at a time decides: a bad server must not eat a request that
+	// cannot be repeated, nor many at once.
+	return s.level > 0 && s.goods == 0 && (r.class.Effect == Unsafe || s.calls > 0)
+}
+
+// silent says that an old call to the server is unanswered while a younger one was answered
+// elsewhere: a machine gone quiet, hung or pausing shows nothing else until time-outs end.
+func (b *Balancer) silent(s *server) bool {
+	if len(s.open) == 0 {
+		return false
+	}
+	a := s.open[0]
+	wait := b.overlong(a.req.class)
+	return b.now-a.sent > wait && b.lastOK > a.sent+wait/2 && s.lastOK < a.sent+wait/2
+}
+
+// judge learns from an ending: the class's latency, the server's health relative to its peers.
+func (b *Balancer) judge(a *attempt, e Outcome) {
+	s, c := a.srv, a.req.class
+	took := float64(b.now - a.sent)
+	bad := 0.0
+	switch e.Ending {
+	case Success:
+		b.tokens = min(retryPurse, b.tokens+retryEarn)
+		b.lastOK, s.lastOK = b.now, b.now
+		b.judgeSpeed(s, a.req, took)
+		if c.cost == 0 {
+			c.cost = a.req.cost
+		}
+		c.cost += memory * (a.req.cost - c.cost)
+		c.dev += memory * (math.Abs(took-c.mean) - c.dev)
+		c.mean += memory * (took - c.mean)
+		s.streak, s.refusals = 0, 0
+		if s.goods++; s.goods >= minSamples && s.level > 0 {
+			s.level, s.goods = s.level-1, 1
+		}
+	case Overloaded, Unreachable:
+		s.room = s.calls
+		s.full = b.now + time.Duration((0.5+b.rng.Float64())*ejection*c.mean)<<s.refusals
+		s.refusals = min(s.refusals+1, maxLevel)
+		return
+	case Failure, Broken, TimedOut:
+		bad = 1
+		if e.Ending == TimedOut {
+			b.owe(c, took) // a server may work on for nobody
+		}
+	case Withdrawn:
+		if took > c.mean+tailSpread*c.dev {
+			b.judgeSpeed(s, a.req, took)
+		}
+		return
+	default:
+		return
+	}
+	if bad > 0 {
+		s.streak++
+		s.goods = 0
+		// Errors that strike everywhere come from the tier below; ejecting on them would leave
+		// nobody. A run counts only if the peers' error share makes it unlikely.
+		if math.Pow(b.errors, float64(s.streak)) < chance {
+			b.eject(s, c)
+		}
+	}
+	b.errors += memory * (bad - b.errors)
+	b.errors = max(b.errors, 0.01)
+}
+
+// judgeSpeed compares a latency with the class's mean; a server slow over several answers is
+// ejected, so that others carry its load and it can recover.
+func (b *Balancer) judgeSpeed(s *server, r *request, took float64) {
+	c := r.class
+	expected := c.mean
+	if r.cost > 0 && c.cost > 0 {
+		expected *= math.Sqrt(r.cost / c.cost) // waits do not grow with the work
+	}
+	if size := b.size(s); size < b.meanSize {
+		expected *= b.meanSize / size // a small machine's own pace is no sign of trouble
+	}
+	s.slow += ownMemory * (math.Log(max(took, 1)/expected) - s.slow)
+	if s.samples++; s.samples >= minSamples && s.slow > math.Log(slowRatio) {
+		s.samples, s.slow, s.goods = 0, 0, 0
+		b.eject(s, c)
+	}
+}
+
+// eject keeps a server out for a time that doubles while its trials fail.
+func (b *Balancer) eject(s *server, c *class) {
+	if b.now < s.until {
+		return
+	}
+	s.until = b.now + time.Duration(ejection*c.mean)<<s.level
+	s.level = min(s.level+1, maxLevel)
+}
+
+// ---- Size and slow start ----
+
+// size is a server's registered capacity against others', where the list tells it.
+func (b *Balancer) size(s *server) float64 {
+	if s.Size > 0 && (b.set.Sizes == SizesNominal || b.set.Sizes == SizesRough) {
+		return s.Size
+	}
+	return 1
+}
+
+// sizeEnough thins the draw of a server to its size and, where its answers took longer than others',
+// by that: uniform draws would crowd servers that are small, crowded by other programs or pausing.
+func (b *Balancer) sizeEnough(s *server) bool {
+	return b.rng.Float64()*b.largest < b.size(s)*math.Exp(-slowThins*max(0, s.slow))
+}
+
+// warmth is the share of its capacity that a server surely has.
+func (b *Balancer) warmth(s *server) float64 {
+	age := b.now - s.Boot
+	if s.Boot <= 0 || age >= b.set.WarmAfter {
+		return 1
+	}
+	grown := max(0, float64(age)/float64(b.set.WarmAfter))
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*grown
+}
+
+// warmEnough thins the draw of a cold server to its share of a warm one's, and keeps it to one
+// own call at a time: many nodes that each send a little would push it over together.
+func (b *Balancer) warmEnough(s *server) bool {
+	w := b.warmth(s)
+	return w == 1 || (s.calls == 0 && b.rng.Float64() < w)
+}
+
+// ---- Further attempts ----
+
+// maySendAgain says that the class's effect and the limits allow one more attempt now.
+func (b *Balancer) maySendAgain(r *request) bool {
+	if r.answered || r.streaming || len(r.attempts) >= max(1, b.set.MaxAttempts) {
+		return false
+	}
+	for _, a := range r.attempts {
+		if a.unsent {
+			continue
+		}
+		last := a.sent + r.class.Window - 2*b.set.Tick
+		if r.class.Effect == Unsafe || r.class.Effect == Keyed && b.now >= last {
+			return false
+		}
+	}
+	return true
+}
+
+// further decides what follows when no attempt is left out: another within the budget and with
+// time for an answer, or the final answer. Without the budget, retries of every tier multiply.
+func (b *Balancer) further(r *request) {
+	left := float64(r.deadline - b.now)
+	cost := 1.0
+	if r.attempts[len(r.attempts)-1].unsent {
+		cost = unsentCost
+	}
+	if !b.maySendAgain(r) || b.tokens < cost || left < r.class.mean/2 {
+		b.answer(r)
+		return
+	}
+	s := b.choose(r)
+	if s == nil {
+		b.answer(r)
+		return
+	}
+	b.tokens -= cost
+	b.send(r, s)
+}
+
+// ---- Admission ----
+
+// full says that the node has as many calls out as the tiers below answer in good time. Only the
+// first tier holds back: a call refused further down wastes what was done above it.
+func (b *Balancer) full() bool {
+	return len(b.ready) == 0 || b.set.Tier == 0 &&
+		(float64(b.inFlight) >= max(b.window, windowLeast) || b.now < b.pause())
+}
+
+// owe books time that a call holds a server. A thousand copies with a call or two each are a crowd
+// already, so a smaller window is kept on the average: a copy that has sent windowLeast calls at once
+// pauses until its window would have held them for their mean time.
+func (b *Balancer) owe(c *class, d float64) {
+	b.debt = max(b.debt-b.window*float64(b.now-b.debtAt), -windowLeast*c.mean) + d
+	b.debtAt = b.now
+	if b.window >= windowLeast {
+		b.debt = 0 // the count rules; what was owed then must not stop a copy when its window shrinks
+	}
+}
+
+// pause is when what is owed is paid off.
+func (b *Balancer) pause() time.Duration {
+	if b.window >= windowLeast {
+		return 0
+	}
+	return b.debtAt + time.Duration(b.debt/b.window)
+}
+
+// fairServers is how many servers there are for each copy of this tier.
+func (b *Balancer) fairServers() float64 {
+	return float64(len(b.ready)) / float64(max(1, b.set.Balancers))
+}
+
+// steer moves the window so that the mean latency stays at a set part of the aim: crowded servers
+// choke and stay slow, so the crowd must wait or be refused here. It grows slowly: the crowd let in
+// a moment ago shows only when its answers come.
+func (b *Balancer) steer(r *request, e Outcome) {
+	if b.set.Tier > 0 || e.Ending == Withdrawn || e.Ending == Void || e.Ending == Failure {
+		return
+	}
+	over := float64(b.now-r.attempts[e.Attempt].sent) / float64(r.class.Aim)
+	if e.Ending != Success {
+		over = max(over, 1)
+	}
+	b.fill += 2 / (b.window + 16) * (min(over, 1) - b.fill)
+	// Servers that were idle a while ago show how much of the aim bare work fills; crowding is what comes on
+	// top, and a fixed share of the aim would starve slow work or choke the servers of quick work.
+	b.bare = min(b.fill, b.bare+memory/16*(b.fill-b.bare))
+	// The more is shed and the less alike the servers are, the surer it is that some choke: then leaner
+	// is better, while servers that are evenly slow are merely busy. The floor keeps bare work that
+	// fills much of the aim from being taken for a crowd until nothing is sent.
+	if b.fill > min(aimFill, busyRatio*b.bare)*(1-b.shed*min(1, shedding*b.unevenness())) {
+		b.window -= windowDown * min(1, b.window)
+	} else if float64(b.inFlight+1) >= 0.8*b.window {
+		b.window += windowUp * min(1, b.window)
+	}
+	b.window = max(b.window, windowFloor*b.fairServers())
+}
+
+// unevenness is the variance of the servers' mean log latencies.
+func (b *Balancer) unevenness() float64 {
+	var n, sum, squares float64
+	for _, s := range b.ready {
+		if s.samples > 0 {
+			n++
+			sum += s.slow
+			squares += s.slow * s.slow
+		}
+	}
+	n = max(n, 1)
+	return squares/n - sum/n*sum/n
+}
+
+// value is what an answer in a class adds to the result for the time it takes, so that shedding
+// hits what is worth least; the class served worst counts extra, so none starves.
+func (b *Balancer) value(r *request) float64 {
+	c := r.class
+	var total float64
+	worst := c
+	for _, k := range b.order {
+		total += k.Worth * k.arrive
+		if k.arrive > 1 && k.serve*worst.arrive < worst.serve*k.arrive {
+			worst = k
+		}
+	}
+	v := b.set.WholeWeight * c.Worth / max(total, 1e-9)
+	if worst == c {
+		v += b.set.ClassWeight / max(c.arrive, 1e-9)
+	}
+	if r.repeat { // its aim runs from the client's first try and is mostly over
+		v *= c.LateShare
+	}
+	return v / c.mean
+}
+
+// ---- Answers ----
+
+// answer gives the final answer: a refusal where the rules let it promise that a retry is
+// harmless, else a failure. With an attempt still out it waits for that.
+func (b *Balancer) answer(r *request) {
+	if r.answered || r.streaming {
+		return
+	}
+	harmless := true
+	for _, a := range r.attempts {
+		if !a.unsent && (r.class.Effect == Unsafe || r.class.Effect == Keyed && r.class.Scope != ScopeAll) {
+			harmless = false
+		}
+	}
+	if len(r.attempts) == 0 {
+		b.shed += memory / 4 * (1 - b.shed)
+	}
+	if harmless {
+		// A client sent away for long comes back when its aim is mostly over, and its late answer
+		// takes the room of one in time; the window, not the clients' absence, holds the load off.
+		b.do(Refuse{ID: r.id, RetryAfter: min(b.set.MaxRetryAfter, b.set.Tick)})
+	} else {
+		b.do(Fail{ID: r.id})
+	}
+	b.close(r)
+}
+
+// close ends a request and calls off what is still out for it.
+func (b *Balancer) close(r *request) {
+	if r.answered {
+		return
+	}
+	r.answered = true
+	b.unhold(r)
+	for _, a := range r.attempts {
+		b.cancel(a)
+	}
+	b.forget(r)
+}
+
+// forget drops a request once nothing of it is left.
+func (b *Balancer) forget(r *request) {
+	if r.answered && r.out == 0 {
+		delete(b.requests, r.id)
+	}
+}
--- /dev/null
+++ b/state.go
@@ -0,0 +1,95 @@
+package hollyspur
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// What a Balancer remembers: types only; policy.go fills and reads them.
+
+// Balancer decides for one node. See the package comment for its contract.
+type Balancer struct {
+	set      Settings
+	rng      *rand.Rand
+	now      time.Duration
+	out      []Action
+	servers  map[string]*server
+	ready    []*server // ready servers in the shared order
+	largest  float64   // size in the subset
+	meanSize float64   // of the subset
+	subset   []*server // those of them that this copy's first attempts are drawn from, in that order
+	requests map[string]*request
+	held     []*request
+	classes  map[string]*class
+	order    []*class // every class in the order of the settings, then the unknown one
+
+	errors    float64 // share of bad endings among all attempts
+	lastOK    time.Duration
+	tokens    float64       // retry budget
+	window    float64       // own calls admitted at once (first tier)
+	fill      float64       // mean latency over aim
+	debt      float64       // time that calls hold servers, beyond what the window allows, in ns
+	bare      float64       // least fill seen, forgetting slowly
+	debtAt    time.Duration // when that was reckoned
+	inFlight  int
+	shed      float64 // share of requests answered without an attempt
+	subFails  int
+	subWanted time.Duration
+}
+
+// class holds what was learned of a class.
+type class struct {
+	Class
+	mean, dev     float64 // latency of successes, in ns
+	cost          float64 // mean hint of the work, in ns; 0: none yet
+	arrive, serve float64 // decayed counts
+	longestTry    time.Duration
+}
+
+// server is a listed server, or one that left with calls of ours still out.
+type server struct {
+	Server
+	listed bool
+	right  bool       // of the two groups
+	calls  int        // own calls in flight
+	open   []*attempt // the same calls in order of sending
+
+	streak   int // bad endings in a row
+	level    int // doublings of the next ejection
+	goods    int // good endings in a row
+	until    time.Duration
+	slow     float64 // mean log of latency over the class mean
+	samples  int
+	lastOK   time.Duration
+	room     int           // own calls that it had taken when it refused one more
+	full     time.Duration // no more than room until then
+	refusals int           // in a row
+}
+
+// request is an accepted request, kept until it is answered and its attempts have ended.
+type request struct {
+	id        string
+	class     *class
+	arrived   time.Duration
+	deadline  time.Duration
+	cost      float64 // hint of the work, in ns; 0: none
+	attempts  []*attempt
+	out       int
+	repeat    bool // by the client, where clients say so
+	held      bool
+	answered  bool
+	streaming bool
+	wake      time.Duration
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	req    *request
+	srv    *server
+	n      int
+	sent   time.Duration
+	zone   string
+	cell   int
+	ended  bool
+	unsent bool // proven never to have run
+}
