--- /dev/null
+++ b/internal/node/upstream.go
@@ -0,0 +1,294 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"hollyspur"
+)
+
+// maxBody is the most that a body holds, either way.
+const maxBody = 64 << 10
+
+// server is a listed server as the I/O sees it.
+type server struct {
+	id, addr string
+	boot     time.Duration
+	usable   atomic.Bool // ready by our list; cleared when the server drains or is gone
+}
+
+// Why an attempt's context ended.
+var (
+	errTimedOut  = errors.New("timed out")
+	errWithdrawn = errors.New("withdrawn")
+)
+
+// result is how an attempt ended; body and contentType belong to a Success.
+type result struct {
+	ending      hollyspur.Ending
+	body        []byte
+	contentType string
+}
+
+// upstream makes attempts over connections of its own. http.Transport is no use here: it sends a
+// request again by itself when a reused connection breaks, which would be an attempt that nobody
+// counted, perhaps to a server that drains by then.
+type upstream struct {
+	idleFor        time.Duration // ours are closed after standing idle for so long
+	connectTimeout time.Duration
+
+	mu   sync.Mutex
+	idle map[*server][]*conn // the latest used last
+	open int                 // connections there are, idle ones and dials among them
+	most int                 // and may be
+}
+
+// conn is a connection to a server; it carries one request at a time.
+type conn struct {
+	net.Conn
+	r     *bufio.Reader
+	since time.Time // idle since
+}
+
+func newUpstream(cfg Config, most int) *upstream {
+	return &upstream{
+		// Clearly before the server closes it: a request that crosses the close is lost to a reset.
+		idleFor:        cfg.Conns.Idle * 3 / 4,
+		connectTimeout: cfg.Conns.ConnectWithin,
+		idle:           map[*server][]*conn{},
+		most:           most,
+	}
+}
+
+// attempt sends r to s once and waits for the answer until ctx ends. It writes nothing unless
+// begin agrees at the moment of writing.
+func (u *upstream) attempt(ctx context.Context, s *server, r *http.Request, begin func() bool) result {
+	var message bytes.Buffer
+	if err := r.Write(&message); err != nil {
+		return result{ending: hollyspur.Void}
+	}
+	c, err := u.get(ctx, s)
+	if ctx.Err() != nil || err == nil && !begin() {
+		// The dial took the attempt's time or its reason away.
+		if err == nil {
+			u.put(s, c)
+		}
+		return result{ending: hollyspur.Void}
+	}
+	if err != nil {
+		return result{ending: hollyspur.Unreachable}
+	}
+	if !s.usable.Load() {
+		// The list named it draining or gone while the connection came up.
+		u.close(c)
+		return result{ending: hollyspur.Unreachable}
+	}
+	stop := context.AfterFunc(ctx, func() { c.Conn.Close() }) // all that stops an exchange
+	res, keep := exchange(ctx, c, r, message.Bytes())
+	if stop() && keep {
+		u.put(s, c)
+	} else {
+		u.close(c)
+	}
+	return res
+}
+
+// exchange writes one request and reads its answer. keep tells whether the connection can carry
+// another.
+func exchange(ctx context.Context, c *conn, r *http.Request, message []byte) (res result, keep bool) {
+	if _, err := c.Write(message); err != nil {
+		// Not all of it was written, so it can't have run.
+		if ctx.Err() != nil {
+			return result{ending: hollyspur.Void}, false
+		}
+		return result{ending: hollyspur.Unreachable}, false
+	}
+	resp, err := readResponse(c.r, r)
+	if err != nil {
+		return result{ending: endingOf(ctx)}, false
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	resp.Body.Close()
+	// An answer framed by the connection's end can't be told from one that was cut short.
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	whole := err == nil && len(body) <= maxBody && framed
+	switch {
+	case resp.StatusCode == http.StatusOK && whole:
+		res = result{hollyspur.Success, body, resp.Header.Get("Content-Type")}
+	case resp.StatusCode == http.StatusOK:
+		res.ending = endingOf(ctx)
+	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Unprocessed") == "1":
+		res.ending = hollyspur.Overloaded
+	default:
+		res.ending = hollyspur.Failure
+	}
+	return res, whole && !resp.Close && c.r.Buffered() == 0
+}
+
+// readResponse skips interim answers.
+func readResponse(br *bufio.Reader, r *http.Request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(br, r)
+		if err != nil || resp.StatusCode >= 200 {
+			return resp, err
+		}
+	}
+}
+
+// endingOf tells how an attempt ended that was written and got no whole answer.
+func endingOf(ctx context.Context) hollyspur.Ending {
+	switch context.Cause(ctx) {
+	case nil:
+		return hollyspur.Broken
+	case errTimedOut:
+		return hollyspur.TimedOut
+	}
+	return hollyspur.Withdrawn
+}
+
+var errNoRoom = errors.New("no descriptor left for another connection")
+
+// get takes the idle connection used last, or dials.
+func (u *upstream) get(ctx context.Context, s *server) (*conn, error) {
+	for {
+		c := u.takeIdle(s)
+		if c == nil {
+			break
+		}
+		if time.Since(c.since) < u.idleFor && c.alive() {
+			return c, nil
+		}
+		u.close(c)
+	}
+	if !u.reserve() {
+		return nil, errNoRoom
+	}
+	d := net.Dialer{Timeout: u.connectTimeout}
+	nc, err := d.DialContext(ctx, "tcp", s.addr)
+	if err != nil {
+		u.release()
+		return nil, err
+	}
+	return &conn{Conn: nc, r: bufio.NewReader(nc)}, nil
+}
+
+func (u *upstream) takeIdle(s *server) *conn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	l := u.idle[s]
+	if len(l) == 0 {
+		return nil
+	}
+	c := l[len(l)-1]
+	u.idle[s] = l[:len(l)-1]
+	return c
+}
+
+// reserve counts a connection to be dialled. With none left an idle one of any server makes room.
+func (u *upstream) reserve() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.open >= u.most {
+		for s, l := range u.idle {
+			if len(l) > 0 {
+				l[0].Conn.Close()
+				u.idle[s] = l[1:]
+				return true
+			}
+		}
+		return false
+	}
+	u.open++
+	return true
+}
+
+func (u *upstream) release() {
+	u.mu.Lock()
+	u.open--
+	u.mu.Unlock()
+}
+
+func (u *upstream) close(c *conn) {
+	c.Conn.Close()
+	u.release()
+}
+
+// put keeps a connection for the next attempt, unless the server has left meanwhile.
+func (u *upstream) put(s *server, c *conn) {
+	c.since = time.Now()
+	u.mu.Lock()
+	usable := s.usable.Load() // under the lock, so that dropIdle comes after or is seen here
+	if usable {
+		u.idle[s] = append(u.idle[s], c)
+	}
+	u.mu.Unlock()
+	if !usable {
+		u.close(c)
+	}
+}
+
+// alive says that an idle connection is still open and holds no bytes: a server that closed it
+// would reset the next request, and leftover bytes would pass for that request's answer.
+func (c *conn) alive() bool {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	alive := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		alive = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && alive
+}
+
+// dropIdle closes the idle connections to a server.
+func (u *upstream) dropIdle(s *server) {
+	u.sweep(func(of *server, c *conn) bool { return of == s })
+}
+
+// sweepStale closes idle connections that are too old or that their server has closed, lest they
+// hold descriptors until they would be used next.
+func (u *upstream) sweepStale() {
+	u.sweep(func(_ *server, c *conn) bool { return time.Since(c.since) >= u.idleFor || !c.alive() })
+}
+
+// sweep closes the idle connections that drop names.
+func (u *upstream) sweep(drop func(*server, *conn) bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for s, l := range u.idle {
+		var keep []*conn
+		for _, c := range l {
+			if drop(s, c) {
+				c.Conn.Close()
+				u.open--
+			} else {
+				keep = append(keep, c)
+			}
+		}
+		if keep == nil {
+			delete(u.idle, s)
+		} else {
+			u.idle[s] = keep
+		}
+	}
+}
+
+// timeLeft words a duration for X-Time-Left.
+func timeLeft(d time.Duration) string {
+	return strconv.FormatInt(max(1, d.Microseconds()), 10) + "u"
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -131,7 +131,7 @@
 		f.parts[0] = seed
 		m.Seed = f.seed(0)
 		if f.err == nil {
-			m.Settings, f.err = ParseSettings([]byte(text))
+			m.Settings, _, f.err = ParseSettings([]byte(text))
 		}
 	case "announce":
 		mode := f.num(0)
@@ -364,6 +364,8 @@
 	} `json:"lanes"`
 	Limits struct {
 		Cancelling    bool    `json:"cancelling"`
+		ConnIdle      float64 `json:"conn-idle-ms"`
+		ConnectWithin float64 `json:"connect-timeout-ms"`
 		MaxAttempts   int     `json:"max-attempts"`
 		MaxRetryAfter float64 `json:"max-retry-after-ms"`
 		SecondCopies  bool    `json:"second-copies"`
@@ -395,12 +397,19 @@
 	"read_like": hollyspur.Safe, "idempotency_key": hollyspur.Keyed,
 }
 
+// Connections holds the settings of connections to servers. On the wire the simulator keeps to them;
+// a real node does so itself. 0: not told.
+type Connections struct {
+	Idle          time.Duration // a server closes one that stood idle for so long
+	ConnectWithin time.Duration // one not established within it counts as unreachable
+}
+
 // ParseSettings reads the settings object. Keys it does not know are ignored, an effect it does
 // not know is Unsafe and a scope it does not know is the narrowest.
-func ParseSettings(text []byte) (hollyspur.Settings, error) {
+func ParseSettings(text []byte) (hollyspur.Settings, Connections, error) {
 	var p profile
 	if err := json.Unmarshal(text, &p); err != nil {
-		return hollyspur.Settings{}, fmt.Errorf("settings: %w", err)
+		return hollyspur.Settings{}, Connections{}, fmt.Errorf("settings: %w", err)
 	}
 	s := hollyspur.Settings{
 		Balancers: p.Balancers, Index: p.Me, Tier: p.Tier,
@@ -419,7 +428,8 @@
 			Scope: scopes[l.Scope], Window: fromMS(l.Window), Aim: fromMS(l.Target),
 			Deadline: fromMS(l.Deadline), LateShare: l.LateShare, Worth: l.Worth, Stream: l.Stream})
 	}
-	return s, nil
+	c := Connections{Idle: fromMS(p.Limits.ConnIdle), ConnectWithin: fromMS(p.Limits.ConnectWithin)}
+	return s, c, nil
 }
 
 // Encoder writes replies.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -70,7 +70,7 @@
 }
 
 func TestUnknownEffectIsUnsafe(t *testing.T) {
-	s, err := ParseSettings([]byte(`{"lanes":[{"name":"a","effect":"odd"},{"name":"b","effect":"read_like"}],"new":1}`))
+	s, _, err := ParseSettings([]byte(`{"lanes":[{"name":"a","effect":"odd"},{"name":"b","effect":"read_like"}],"new":1}`))
 	if err != nil || s.Classes[0].Effect != hollyspur.Unsafe || s.Classes[1].Effect != hollyspur.Safe {
 		t.Fatalf("got %+v, %v", s, err)
 	}
