--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -56,11 +56,16 @@
 	cancel context.CancelCauseFunc
 }
 
-// loop owns the Balancer. All its methods but post run on the one goroutine of run; I/O happens on
+// module decides; hollyspur.Balancer is the one in service.
+type module interface {
+	Handle(now time.Duration, e hollyspur.Event) []hollyspur.Action
+}
+
+// loop owns the module. All its methods but post run on the one goroutine of run; I/O happens on
 // others, which post what came of it.
 type loop struct {
 	clock       clock
-	balancer    *hollyspur.Balancer
+	module      module
 	upstream    *upstream
 	discovery   *discovery
 	maxAttempts int
@@ -76,16 +81,12 @@
 	stopWatch context.CancelFunc
 }
 
-func newLoop(cfg Config, up *upstream, disc *discovery) (*loop, error) {
-	b, err := hollyspur.New(cfg.Settings, cfg.Seed)
-	if err != nil {
-		return nil, err
-	}
-	return &loop{clock: clock{time.Now()}, balancer: b, upstream: up, discovery: disc,
+func newLoop(cfg Config, m module, up *upstream, disc *discovery) *loop {
+	return &loop{clock: clock{time.Now()}, module: m, upstream: up, discovery: disc,
 		maxAttempts: cfg.Settings.MaxAttempts, pushed: !cfg.Settings.AskDiscovery,
 		events: make(chan func(), 1024), done: make(chan struct{}),
 		requests: map[string]*request{}, servers: map[string]*server{},
-		stopWatch: func() {}}, nil
+		stopWatch: func() {}}
 }
 
 // run works off events until ctx ends.
@@ -125,7 +126,7 @@
 	for len(l.queue) > 0 {
 		e := l.queue[0]
 		l.queue = l.queue[1:]
-		for _, a := range l.balancer.Handle(l.clock.now(), e) {
+		for _, a := range l.module.Handle(l.clock.now(), e) {
 			l.carryOut(a)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/net/netutil"
+
+	"hollyspur"
 )
 
 // Node is one real node.
@@ -25,17 +27,22 @@
 
 // New returns a node that listens.
 func New(cfg Config) (*Node, error) {
-	// A call out needs a caller, and callers hold idle connections besides: they get the larger part.
-	upstreams := max(1, (cfg.Sockets-reserved)*2/5)
-	callers := max(1, cfg.Sockets-reserved-upstreams)
-	l, err := newLoop(cfg, newUpstream(cfg, upstreams), newDiscovery(cfg.Discovery))
+	b, err := hollyspur.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
+	return newNode(cfg, b)
+}
+
+func newNode(cfg Config, m module) (*Node, error) {
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return nil, err
 	}
+	// A call out needs a caller, and callers hold idle connections besides: they get the larger part.
+	upstreams := max(1, (cfg.Sockets-reserved)*2/5)
+	callers := max(1, cfg.Sockets-reserved-upstreams)
+	l := newLoop(cfg, m, newUpstream(cfg, upstreams), newDiscovery(cfg.Discovery))
 	n := &Node{loop: l, front: newFront(l, cfg.Settings, callers), known: cfg.Known,
 		listener: netutil.LimitListener(listener, callers)}
 	for _, c := range cfg.Settings.Classes {
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,522 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hollyspur"
+	"hollyspur/internal/wire"
+)
+
+// limit bounds every wait of the tests; none passes by waiting.
+const limit = 20 * time.Second
+
+func testConfig(discovery string, targets ...Target) Config {
+	class := func(name string, e hollyspur.Effect) hollyspur.Class {
+		return hollyspur.Class{Name: name, Effect: e, Scope: hollyspur.ScopeAll, Window: 10 * time.Second,
+			Aim: 2 * time.Second, Deadline: 5 * time.Second, Worth: 1}
+	}
+	return Config{Name: "n0", Listen: "127.0.0.1:0", Discovery: discovery, Seed: 1, Sockets: 256,
+		Known: List{Rev: 7, All: true, Targets: targets},
+		Settings: hollyspur.Settings{
+			Classes: []hollyspur.Class{class("read", hollyspur.Safe), class("send", hollyspur.Keyed),
+				class("order", hollyspur.Unsafe)},
+			Balancers: 1, MaxAttempts: 6, MayCancel: true, AskDiscovery: true,
+			AskWithin: 160 * time.Millisecond, Tick: time.Millisecond, MaxRetryAfter: 2 * time.Second},
+		Conns: wire.Connections{Idle: time.Minute, ConnectWithin: limit}}
+}
+
+func serving(uid, addr string) Target {
+	return Target{UID: uid, Endpoint: addr, Zone: "a", State: "SERVING", Size: 1}
+}
+
+// startNode runs a node until the test ends; nil m stands for the real module.
+func startNode(t *testing.T, cfg Config, m module) *Node {
+	t.Helper()
+	if m == nil {
+		b, err := hollyspur.New(cfg.Settings, cfg.Seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m = b
+	}
+	n, err := newNode(cfg, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := wait(t, done); err != nil {
+			t.Errorf("Run: %v", err)
+		}
+	})
+	return n
+}
+
+func wait[T any](t *testing.T, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(limit):
+		t.Fatal("nothing came")
+		panic("unreachable")
+	}
+}
+
+// moduleFunc is a module of a test's own.
+type moduleFunc func(e hollyspur.Event) []hollyspur.Action
+
+func (f moduleFunc) Handle(_ time.Duration, e hollyspur.Event) []hollyspur.Action { return f(e) }
+
+// listen serves each connection of a stub with serve.
+func listen(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// received is a request as a stub saw it.
+type received struct {
+	*http.Request
+	body string
+}
+
+// stub answers every request with answer, raw; after it says what follows. got tells of each
+// request before its answer.
+func stub(t *testing.T, answer string, closeAfter bool) (addr string, got chan received) {
+	got = make(chan received, 100)
+	return listen(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			b, _ := io.ReadAll(req.Body)
+			got <- received{req, string(b)}
+			io.WriteString(c, answer)
+			if closeAfter {
+				return
+			}
+		}
+	}), got
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Type: a/b\r\n\r\nhi"
+
+func newRequest(t *testing.T, n *Node, method, path, body string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+n.Addr().String()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("X-Correlation-Id", "c-1")
+	r.Header.Set("X-Time-Left", "10000m")
+	return r
+}
+
+func do(t *testing.T, r *http.Request) (*http.Response, string) {
+	t.Helper()
+	c := &http.Client{Timeout: limit, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := c.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(b)
+}
+
+func TestServedUnchanged(t *testing.T) {
+	t.Parallel()
+	addr, got := stub(t, ok, false)
+	n := startNode(t, testConfig("127.0.0.1:1", serving("s", addr)), nil)
+	r := newRequest(t, n, "POST", "/send//7f%2F3a?q=1&q=2", strings.Repeat("x", maxBody))
+	r.Header.Set("Idempotency-Key", "k-1")
+	resp, body := do(t, r)
+	if resp.StatusCode != 200 || body != "hi" || resp.Header.Get("Content-Type") != "a/b" {
+		t.Errorf("answer %d %q %v", resp.StatusCode, body, resp.Header)
+	}
+	s := wait(t, got)
+	if s.Method != "POST" || s.RequestURI != "/send//7f%2F3a?q=1&q=2" || len(s.body) != maxBody ||
+		s.Header.Get("X-Correlation-Id") != "c-1" || s.Header.Get("Idempotency-Key") != "k-1" {
+		t.Errorf("the server got %s %s, %d bytes, %v", s.Method, s.RequestURI, len(s.body), s.Header)
+	}
+	left, err := parseTimeLeft(s.Header.Get("X-Time-Left"))
+	if err != nil || left <= 0 || left > 10*time.Second {
+		t.Errorf("X-Time-Left %v, %v", left, err)
+	}
+}
+
+// A caller's id may come twice at once; each request gets its own answer.
+func TestSameCorrelationIDTwice(t *testing.T) {
+	t.Parallel()
+	both := make(chan struct{}, 2)
+	release := make(chan struct{})
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			both <- struct{}{}
+			<-release
+			io.WriteString(c, ok)
+		}
+	})
+	n := startNode(t, testConfig("127.0.0.1:1", serving("s", addr)), nil)
+	status := make(chan int, 2)
+	for range 2 {
+		r := newRequest(t, n, "GET", "/read/1", "")
+		go func() {
+			resp, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				status <- 0
+				return
+			}
+			resp.Body.Close()
+			status <- resp.StatusCode
+		}()
+	}
+	wait(t, both)
+	wait(t, both)
+	close(release)
+	if a, b := wait(t, status), wait(t, status); a != 200 || b != 200 {
+		t.Errorf("answers %d and %d", a, b)
+	}
+}
+
+func TestMalformedRequest(t *testing.T) {
+	t.Parallel()
+	addr, got := stub(t, ok, false)
+	n := startNode(t, testConfig("127.0.0.1:1", serving("s", addr)), nil)
+	for name, c := range map[string]struct {
+		method, path, header, value string
+		size, status                int
+	}{
+		"no id":         {"GET", "/read/1", "X-Correlation-Id", "", 0, 400},
+		"no time":       {"GET", "/read/1", "X-Time-Left", "", 0, 400},
+		"no unit":       {"GET", "/read/1", "X-Time-Left", "480", 0, 400},
+		"no number":     {"GET", "/read/1", "X-Time-Left", "m", 0, 400},
+		"nothing left":  {"GET", "/read/1", "X-Time-Left", "0m", 0, 400},
+		"negative":      {"GET", "/read/1", "X-Time-Left", "-5m", 0, 400},
+		"not a number":  {"GET", "/read/1", "X-Time-Left", "NaNm", 0, 400},
+		"endless":       {"GET", "/read/1", "X-Time-Left", "1e300m", 0, 400},
+		"no class":      {"GET", "/", "A", "", 0, 400},
+		"method":        {"PUT", "/read/1", "A", "", 0, 400},
+		"no key":        {"POST", "/send/1", "A", "", 0, 400},
+		"body too long": {"POST", "/order/1", "A", "", maxBody + 1, 413},
+	} {
+		r := newRequest(t, n, c.method, c.path, strings.Repeat("x", c.size))
+		r.Header.Set(c.header, c.value)
+		if resp, _ := do(t, r); resp.StatusCode != c.status {
+			t.Errorf("%s: %d, want %d", name, resp.StatusCode, c.status)
+		}
+	}
+	if len(got) > 0 {
+		t.Error("a malformed request reached the server")
+	}
+}
+
+func TestTimeLeftUnits(t *testing.T) {
+	for s, want := range map[string]time.Duration{"480m": 480 * time.Millisecond,
+		"1500u": 1500 * time.Microsecond, "2.5m": 2500 * time.Microsecond} {
+		if d, err := parseTimeLeft(s); err != nil || d != want {
+			t.Errorf("%s: %v, %v", s, d, err)
+		}
+	}
+}
+
+// A refusal is 503 with the advice in decimal seconds, a failure 502.
+func TestFinalAnswers(t *testing.T) {
+	t.Parallel()
+	n := startNode(t, testConfig("127.0.0.1:1"), moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+		switch r, _ := e.(hollyspur.Request); r.Class {
+		case "read":
+			return []hollyspur.Action{hollyspur.Refuse{ID: r.ID, RetryAfter: 250 * time.Millisecond},
+				hollyspur.Fail{ID: r.ID}} // the second is ignored
+		case "order":
+			return []hollyspur.Action{hollyspur.Fail{ID: r.ID}}
+		}
+		return nil
+	}))
+	resp, _ := do(t, newRequest(t, n, "GET", "/read/1", ""))
+	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") != "0.25" {
+		t.Errorf("refusal: %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	if resp, _ := do(t, newRequest(t, n, "POST", "/order/1", "")); resp.StatusCode != 502 {
+		t.Errorf("failure: %d", resp.StatusCode)
+	}
+}
+
+// Whatever the module forgets, the caller has an answer before its time is out.
+func TestSilentModule(t *testing.T) {
+	t.Parallel()
+	gone := make(chan hollyspur.ClientGone, 1)
+	n := startNode(t, testConfig("127.0.0.1:1"), moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+		if e, is := e.(hollyspur.ClientGone); is {
+			gone <- e
+		}
+		return nil
+	}))
+	r := newRequest(t, n, "GET", "/read/1", "")
+	r.Header.Set("X-Time-Left", "50m")
+	if resp, _ := do(t, r); resp.StatusCode != 502 {
+		t.Errorf("answer %d", resp.StatusCode)
+	}
+	wait(t, gone)
+}
+
+// A caller that closes its connection has gone: the module hears of it, and the cancel that it
+// orders closes the attempt's connection.
+func TestCallerGone(t *testing.T) {
+	t.Parallel()
+	began, closed := make(chan struct{}), make(chan struct{})
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			close(began)
+			io.Copy(io.Discard, r)
+			close(closed)
+		}
+	})
+	n := startNode(t, testConfig("127.0.0.1:1", serving("s", addr)), nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := newRequest(t, n, "GET", "/read/1", "").WithContext(ctx)
+	go http.DefaultTransport.RoundTrip(r)
+	wait(t, began)
+	cancel()
+	wait(t, closed)
+}
+
+// A finished request sends nothing more; Sends past the limit or to servers not listed are Void too.
+func TestVoidSends(t *testing.T) {
+	t.Parallel()
+	addr, got := stub(t, ok, false)
+	cfg := testConfig("127.0.0.1:1", serving("s", addr))
+	cfg.Settings.MaxAttempts = 2
+	outcomes := make(chan hollyspur.Outcome, 10)
+	n := startNode(t, cfg, moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+		switch e := e.(type) {
+		case hollyspur.Request:
+			send := func(to string) hollyspur.Action { return hollyspur.Send{ID: e.ID, Server: to} }
+			if e.Class == "read" {
+				return []hollyspur.Action{send("nowhere"), send("nowhere"), send("s"), hollyspur.Fail{ID: e.ID}}
+			}
+			return []hollyspur.Action{hollyspur.Cancel{ID: e.ID, Attempt: 3}, send("nowhere"),
+				hollyspur.Fail{ID: e.ID}, send("s")}
+		case hollyspur.Outcome:
+			outcomes <- e
+		}
+		return nil
+	}))
+	do(t, newRequest(t, n, "GET", "/read/1", ""))
+	for i := range 3 {
+		if o := wait(t, outcomes); o.Ending != hollyspur.Void || o.Attempt != i {
+			t.Errorf("outcome %+v", o)
+		}
+	}
+	do(t, newRequest(t, n, "POST", "/order/1", ""))
+	if len(got) > 0 {
+		t.Error("a void attempt reached the server")
+	}
+}
+
+// The first success is the answer and Ended; an attempt that ends later still reaches the module.
+func TestLateOutcome(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	slow := listen(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			<-release
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+		}
+	})
+	fast, _ := stub(t, ok, false)
+	outcomes := make(chan hollyspur.Outcome, 10)
+	n := startNode(t, testConfig("127.0.0.1:1", serving("slow", slow), serving("fast", fast)),
+		moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+			switch e := e.(type) {
+			case hollyspur.Request:
+				return []hollyspur.Action{hollyspur.Send{ID: e.ID, Server: "slow"}, hollyspur.Send{ID: e.ID, Server: "fast"}}
+			case hollyspur.Outcome:
+				outcomes <- e
+			}
+			return nil
+		}))
+	if resp, body := do(t, newRequest(t, n, "GET", "/read/1", "")); resp.StatusCode != 200 || body != "hi" {
+		t.Errorf("answer %d %q", resp.StatusCode, body)
+	}
+	if o := wait(t, outcomes); o.Server != "fast" || o.Attempt != 1 || !o.Ended || o.Ending != hollyspur.Success {
+		t.Errorf("first outcome %+v", o)
+	}
+	close(release)
+	if o := wait(t, outcomes); o.Server != "slow" || o.Attempt != 0 || !o.Ended {
+		t.Errorf("late outcome %+v", o)
+	}
+}
+
+// After the signal new connections come for a while: they are served, and so is all that was taken,
+// each with the word that its connection closes, before Run returns.
+func TestStopServesWhatCame(t *testing.T) {
+	t.Parallel()
+	began, release := make(chan struct{}, 2), make(chan struct{})
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			began <- struct{}{}
+			<-release
+			io.WriteString(c, ok)
+		}
+	})
+	n, err := New(testConfig("127.0.0.1:1", serving("s", addr)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	answers := make(chan *http.Response, 2)
+	ask := func() {
+		resp, err := (&http.Transport{}).RoundTrip(newRequest(t, n, "GET", "/read/1", ""))
+		if err != nil {
+			t.Error(err)
+		}
+		answers <- resp
+	}
+	go ask()
+	wait(t, began)
+	cancel()
+	go ask() // after the signal
+	wait(t, began)
+	// Once the listener is closed the rest is answered.
+	for stop := time.Now().Add(limit); time.Now().Before(stop); {
+		c, err := net.Dial("tcp", n.Addr().String())
+		if err != nil {
+			break
+		}
+		c.Close()
+	}
+	select {
+	case err := <-done:
+		t.Fatalf("Run returned %v with requests unanswered", err)
+	default:
+	}
+	close(release)
+	for range 2 {
+		if resp := wait(t, answers); resp == nil || resp.StatusCode != 200 || !resp.Close {
+			t.Errorf("answer %+v", resp)
+		}
+	}
+	if err := wait(t, done); err != nil {
+		t.Errorf("Run: %v", err)
+	}
+}
+
+// What would outlast the kill is failed before it.
+func TestStopAnswersBeforeTheKill(t *testing.T) {
+	t.Parallel()
+	began := make(chan struct{})
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			close(began)
+			io.Copy(io.Discard, r)
+		}
+	})
+	cfg := testConfig("127.0.0.1:1", serving("s", addr))
+	for i := range cfg.Settings.Classes {
+		cfg.Settings.Classes[i].Deadline = 300 * time.Millisecond
+	}
+	n, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	status := make(chan int, 1)
+	go func() {
+		resp, _ := do(t, newRequest(t, n, "POST", "/order/1", "")) // with 10 s left
+		status <- resp.StatusCode
+	}()
+	wait(t, began)
+	cancel()
+	if s := wait(t, status); s != 502 {
+		t.Errorf("answer %d", s)
+	}
+	if err := wait(t, done); err != nil {
+		t.Errorf("Run: %v", err)
+	}
+}
+
+// More callers than descriptors wait their turn; none is lost and the node stays up.
+func TestCallersOverTheBudget(t *testing.T) {
+	t.Parallel()
+	addr, _ := stub(t, ok, false)
+	cfg := testConfig("127.0.0.1:1", serving("s", addr))
+	cfg.Sockets = reserved + 10 // 6 for callers
+	n := startNode(t, cfg, nil)
+	client := &http.Client{Timeout: limit} // keeps its connections
+	const callers = 30
+	errs := make(chan error, callers)
+	var refused atomic.Int64
+	for range callers {
+		r := newRequest(t, n, "GET", "/read/1", "")
+		go func() {
+			resp, err := client.Do(r)
+			if err == nil {
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				switch resp.StatusCode {
+				case 200:
+				case 503: // by the module, for want of room
+					refused.Add(1)
+				default:
+					err = errors.New(resp.Status)
+				}
+			}
+			errs <- err
+		}()
+	}
+	for range callers {
+		if err := wait(t, errs); err != nil {
+			t.Error(err)
+		}
+	}
+	if refused.Load() == callers {
+		t.Error("none was served")
+	}
+}
+
+func TestReady(t *testing.T) {
+	t.Parallel()
+	n := startNode(t, testConfig("127.0.0.1:1"), nil)
+	r, _ := http.NewRequest("GET", "http://"+n.Addr().String()+"/health/ready", nil)
+	if resp, _ := do(t, r); resp.StatusCode != 200 {
+		t.Errorf("ready: %d", resp.StatusCode)
+	}
+}
