--- /dev/null
+++ b/cmd/cranegrade/main_test.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const limit = 60 * time.Second
+
+// command starts the program: as the deploy file says where .ci/run names it, else built here.
+func command(t *testing.T, config string) *exec.Cmd {
+	t.Helper()
+	run := os.Getenv("NODE_RUN")
+	if run == "" {
+		bin := filepath.Join(t.TempDir(), "cranegrade")
+		if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
+			t.Fatalf("build: %v\n%s", err, out)
+		}
+		run = "exec " + bin
+	}
+	cmd := exec.Command("/bin/sh", "-c", run)
+	cmd.Dir = "../.."
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config)
+	return cmd
+}
+
+// The whole program: it gets ready, serves a request, and ends with 0 on SIGTERM.
+func TestProgram(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, r.Header.Get("X-Correlation-Id"))
+	}))
+	defer server.Close()
+	config := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+		"known":{"rev":1,"all":true,"targets":[{"uid":"s","endpoint":%q,"az":"a","state":"SERVING"}]},
+		"settings":{"lanes":[{"name":"read","effect":"read_like","target-ms":1000,"deadline-ms":2000}],"limits":{"max-attempts":3},"registry-mode":"on_request"}}`,
+		strings.TrimPrefix(server.URL, "http://"))
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := command(t, config)
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	var listen string
+	lines := bufio.NewScanner(stderr)
+	for listen == "" {
+		if !lines.Scan() {
+			t.Fatal("the program ended before it listened")
+		}
+		_, listen, _ = strings.Cut(lines.Text(), "listening on ")
+	}
+	ended := make(chan error, 1)
+	go func() {
+		for lines.Scan() {
+		}
+		ended <- cmd.Wait()
+	}()
+
+	get := func(path string) (string, error) {
+		r, err := http.NewRequest("GET", "http://"+listen+path, nil)
+		if err != nil {
+			return "", err
+		}
+		r.Header.Set("X-Correlation-Id", "c-1")
+		r.Header.Set("X-Time-Left", "30000m")
+		resp, err := (&http.Client{Timeout: limit}).Do(r)
+		if err != nil {
+			return "", err
+		}
+		defer resp.Body.Close()
+		b, err := io.ReadAll(resp.Body)
+		return fmt.Sprintf("%d %s", resp.StatusCode, b), err
+	}
+	if got, err := get("/health/ready"); err != nil || got != "200 " {
+		t.Errorf("ready: %q, %v", got, err)
+	}
+	if got, err := get("/read/1"); err != nil || got != "200 c-1" {
+		t.Errorf("request: %q, %v", got, err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("after SIGTERM: %v", err)
+		}
+	case <-time.After(limit):
+		t.Error("still running after SIGTERM")
+	}
+}
+
+// A configuration that is missing or malformed: one plain line and exit 1.
+func TestProgramBadConfig(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(bad, []byte(`{"listen":7}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, config := range []string{"", filepath.Join(t.TempDir(), "none"), bad} {
+		cmd := command(t, config)
+		var stdout, stderr bytes.Buffer
+		cmd.Stdout, cmd.Stderr = &stdout, &stderr
+		err := cmd.Run()
+		if exit, is := err.(*exec.ExitError); !is || exit.ExitCode() != 1 {
+			t.Errorf("config %q: %v", config, err)
+		}
+		if s := stderr.String(); strings.Count(s, "\n") != 1 || !strings.HasPrefix(s, "cranegrade: ") || stdout.Len() > 0 {
+			t.Errorf("config %q: standard error %q, output %q", config, s, stdout.String())
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/config_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"hollyspur"
+)
+
+const goodConfig = `{"name":"n3","listen":"127.0.0.1:3000","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"peers":["127.0.0.1:1"],
+ "known":{"rev":41,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:9","az":"a","pod_group":3,"state":"SERVING","capacity_hint":1.0,"boot_ms":0}]},
+ "settings":{"lanes":[{"name":"read","effect":"read_like","target-ms":100,"deadline-ms":400}],
+  "limits":{"conn-idle-ms":30000,"connect-timeout-ms":200,"cancelling":true},"registry-mode":"on_request"}}`
+
+func TestConfig(t *testing.T) {
+	c, err := parseConfig([]byte(goodConfig))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n3" || c.Seed != 0x8c1f30d27a5be964 || c.Sockets != 1024 || c.Known.Rev != 41 ||
+		len(c.Known.Targets) != 1 || c.Conns.Idle != 30*time.Second || c.Conns.ConnectWithin != 200*time.Millisecond ||
+		!c.Settings.AskDiscovery || c.Settings.Classes[0].Effect != hollyspur.Safe {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestBadConfig(t *testing.T) {
+	for name, replace := range map[string][2]string{
+		"listen":    {`"127.0.0.1:3000"`, `"here"`},
+		"discovery": {`"discovery"`, `"d"`},
+		"seed":      {`8c1f30d27a5be964`, `seed`},
+		"limits":    {`"sockets":1024`, `"sockets":-1`},
+		"known":     {`"SERVING"`, `"SLEEPING"`},
+		"settings":  {`"settings":`, `"s":`},
+		"Deadline":  {`"deadline-ms":400`, `"deadline-ms":0`},
+		"cannot":    {`"lanes":[`, `"lanes":7,"l":[`},
+		"character": {`{"name"`, `name`},
+	} {
+		_, err := parseConfig([]byte(strings.Replace(goodConfig, replace[0], replace[1], 1)))
+		if err == nil || !strings.Contains(err.Error(), name) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/upstream_test.go
@@ -0,0 +1,370 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hollyspur"
+)
+
+func newTestUpstream(most int) *upstream {
+	return newUpstream(testConfig("127.0.0.1:1"), most)
+}
+
+func newServer(addr string) *server {
+	s := &server{id: addr, addr: addr}
+	s.usable.Store(true)
+	return s
+}
+
+func keyed(t *testing.T) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest("POST", "/send/1", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "app.svc"
+	r.Header.Set("Idempotency-Key", "k-1")
+	return r
+}
+
+func yes() bool { return true }
+
+func try(t *testing.T, u *upstream, s *server) result {
+	t.Helper()
+	ctx, cancel := context.WithTimeoutCause(context.Background(), limit, errTimedOut)
+	defer cancel()
+	return u.attempt(ctx, s, keyed(t), yes)
+}
+
+func (u *upstream) counts() (open, idle int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, l := range u.idle {
+		idle += len(l)
+	}
+	return u.open, idle
+}
+
+func TestEndings(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		answer string
+		ending hollyspur.Ending
+		kept   bool
+	}{
+		"served":            {ok, hollyspur.Success, true},
+		"interim first":     {"HTTP/1.1 100 Continue\r\n\r\n" + ok, hollyspur.Success, true},
+		"chunked":           {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", hollyspur.Success, true},
+		"empty":             {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", hollyspur.Success, true},
+		"closes":            {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi", hollyspur.Success, false},
+		"leftover bytes":    {ok + "HTTP/1.1 200 OK", hollyspur.Success, false},
+		"error":             {"HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n", hollyspur.Failure, true},
+		"not found":         {"HTTP/1.1 404 E\r\nContent-Length: 0\r\n\r\n", hollyspur.Failure, true},
+		"other success":     {"HTTP/1.1 204 No Content\r\n\r\n", hollyspur.Failure, true},
+		"turned away":       {"HTTP/1.1 503 E\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", hollyspur.Overloaded, true},
+		"over already":      {"HTTP/1.1 504 E\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", hollyspur.Overloaded, true},
+		"503 that may run":  {"HTTP/1.1 503 E\r\nContent-Length: 0\r\n\r\n", hollyspur.Failure, true},
+		"503 says 0":        {"HTTP/1.1 503 E\r\nX-Unprocessed: 0\r\nContent-Length: 0\r\n\r\n", hollyspur.Failure, true},
+		"500 unprocessed":   {"HTTP/1.1 500 E\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", hollyspur.Failure, true},
+		"nothing":           {"", hollyspur.Broken, false},
+		"no HTTP":           {"hello\r\n\r\n", hollyspur.Broken, false},
+		"half a header":     {"HTTP/1.1 200 OK\r\nContent-Le", hollyspur.Broken, false},
+		"half a body":       {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", hollyspur.Broken, false},
+		"half the chunks":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", hollyspur.Broken, false},
+		"unframed body":     {"HTTP/1.1 200 OK\r\n\r\nperhaps all", hollyspur.Broken, false},
+		"body over 64 KiB":  {"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537), hollyspur.Broken, false},
+		"body of 64 KiB":    {"HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", 65536), hollyspur.Success, true},
+		"half an error":     {"HTTP/1.1 500 E\r\nContent-Length: 9\r\n\r\nhalf", hollyspur.Failure, false},
+		"half turned away":  {"HTTP/1.1 503 E\r\nX-Unprocessed: 1\r\nContent-Length: 9\r\n\r\nhalf", hollyspur.Overloaded, false},
+		"unframed and 1.0":  {"HTTP/1.0 200 OK\r\n\r\nperhaps all", hollyspur.Broken, false},
+		"1.0 with a length": {"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nhi", hollyspur.Success, false},
+	} {
+		release := make(chan struct{})
+		addr := listen(t, func(conn net.Conn, r *bufio.Reader) {
+			if req, err := http.ReadRequest(r); err == nil {
+				io.Copy(io.Discard, req.Body)
+				io.WriteString(conn, c.answer)
+				if c.kept {
+					<-release
+				}
+			}
+		})
+		u := newTestUpstream(10)
+		res := try(t, u, newServer(addr))
+		if res.ending != c.ending {
+			t.Errorf("%s: ending %d, want %d", name, res.ending, c.ending)
+		}
+		want := 0
+		if c.kept {
+			want = 1
+		}
+		if open, idle := u.counts(); open != want || idle != want {
+			t.Errorf("%s: %d connections open and %d idle, want %d", name, open, idle, want)
+		}
+		close(release)
+	}
+}
+
+// A reused connection that breaks once the request is written is an attempt that may have run: it
+// must not be sent again behind the module's back, GET or keyed though it be.
+func TestNoHiddenResend(t *testing.T) {
+	t.Parallel()
+	var seen atomic.Int64
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		for i := 0; ; i++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			seen.Add(1)
+			if i == 1 {
+				return // no answer to a connection's second request
+			}
+			io.WriteString(c, ok)
+		}
+	})
+	u, s := newTestUpstream(10), newServer(addr)
+	if res := try(t, u, s); res.ending != hollyspur.Success {
+		t.Fatalf("first: %d", res.ending)
+	}
+	if res := try(t, u, s); res.ending != hollyspur.Broken {
+		t.Errorf("second: ending %d, want Broken", res.ending)
+	}
+	if n := seen.Load(); n != 2 {
+		t.Errorf("the server saw %d requests of 2", n)
+	}
+}
+
+func TestRefusedConnection(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	u := newTestUpstream(10)
+	if res := try(t, u, newServer(l.Addr().String())); res.ending != hollyspur.Unreachable {
+		t.Errorf("ending %d", res.ending)
+	}
+	if open, _ := u.counts(); open != 0 {
+		t.Errorf("%d connections counted", open)
+	}
+}
+
+// A server may close a connection at any time while it is idle; a request written to it then is lost.
+func TestServerClosesIdle(t *testing.T) {
+	t.Parallel()
+	closed := make(chan struct{}, 10)
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		if req, err := http.ReadRequest(r); err == nil {
+			io.Copy(io.Discard, req.Body)
+			io.WriteString(c, ok)
+			c.Close()
+			closed <- struct{}{}
+		}
+	})
+	u, s := newTestUpstream(10), newServer(addr)
+	for range 2 {
+		if res := try(t, u, s); res.ending != hollyspur.Success {
+			t.Fatalf("ending %d", res.ending)
+		}
+		wait(t, closed)
+	}
+	// Nor do such connections hold descriptors for long.
+	if open, idle := u.counts(); open != 1 || idle != 1 {
+		t.Fatalf("%d open, %d idle", open, idle)
+	}
+	u.sweepStale()
+	if open, idle := u.counts(); open != 0 || idle != 0 {
+		t.Errorf("after the sweep %d open, %d idle", open, idle)
+	}
+}
+
+// Bytes that come while a connection is idle would pass for the next request's answer.
+func TestBytesWhileIdle(t *testing.T) {
+	t.Parallel()
+	more, sent := make(chan struct{}), make(chan struct{})
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		for i := 0; ; i++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			io.WriteString(c, ok)
+			if i == 0 {
+				if _, open := <-more; open {
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale")
+					close(sent)
+				}
+			}
+		}
+	})
+	u, s := newTestUpstream(10), newServer(addr)
+	try(t, u, s)
+	more <- struct{}{}
+	close(more)
+	wait(t, sent)
+	if res := try(t, u, s); string(res.body) != "hi" {
+		t.Errorf("got %q", res.body)
+	}
+}
+
+// Ours are closed before the server would close them, and the one used last is used next.
+func TestIdlePool(t *testing.T) {
+	t.Parallel()
+	addr, _ := stub(t, ok, false)
+	u, s := newTestUpstream(10), newServer(addr)
+	ctx := context.Background()
+	a, err := u.get(ctx, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := u.get(ctx, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.put(s, a)
+	u.put(s, b)
+	if c, _ := u.get(ctx, s); c != b {
+		t.Error("not the connection used last")
+	} else {
+		u.put(s, c)
+	}
+	for _, c := range []*conn{a, b} {
+		c.since = c.since.Add(-u.idleFor)
+	}
+	if u.idleFor >= testConfig("").Conns.Idle {
+		t.Errorf("connections idle for %v", u.idleFor)
+	}
+	if c, err := u.get(ctx, s); err != nil || c == a || c == b {
+		t.Errorf("reused a connection idle for too long, or %v", err)
+	}
+	if open, idle := u.counts(); open != 1 || idle != 0 {
+		t.Errorf("%d open, %d idle", open, idle)
+	}
+}
+
+// A dial takes time: what has changed meanwhile is seen before the first byte.
+func TestNothingWrittenAfterTheDial(t *testing.T) {
+	t.Parallel()
+	var bytes atomic.Int64
+	eof := make(chan struct{}, 10)
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		n, _ := io.Copy(io.Discard, r)
+		bytes.Add(n)
+		eof <- struct{}{}
+	})
+	u, s := newTestUpstream(10), newServer(addr)
+	ctx := context.Background()
+	if res := u.attempt(ctx, s, keyed(t), func() bool { return false }); res.ending != hollyspur.Void {
+		t.Errorf("request finished: ending %d, want Void", res.ending)
+	}
+	if _, idle := u.counts(); idle != 1 {
+		t.Error("the new connection was not kept for the next attempt")
+	}
+	gone := func() bool { s.usable.Store(false); return true }
+	if res := u.attempt(ctx, s, keyed(t), gone); res.ending != hollyspur.Unreachable {
+		t.Errorf("server gone: ending %d, want Unreachable", res.ending)
+	}
+	wait(t, eof)
+	s.usable.Store(true)
+	ctx, cancel := context.WithCancelCause(ctx)
+	cancel(errWithdrawn)
+	if res := u.attempt(ctx, s, keyed(t), yes); res.ending != hollyspur.Void {
+		t.Errorf("cancelled: ending %d, want Void", res.ending)
+	}
+	if n := bytes.Load(); n > 0 {
+		t.Errorf("%d bytes written", n)
+	}
+}
+
+// A timeout or a cancel ends the attempt and closes its connection.
+func TestTimeoutAndCancelClose(t *testing.T) {
+	t.Parallel()
+	began, eof := make(chan struct{}, 10), make(chan struct{}, 10)
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+			began <- struct{}{}
+			io.Copy(io.Discard, r)
+			eof <- struct{}{}
+		}
+	})
+	u, s := newTestUpstream(10), newServer(addr)
+	for cause, want := range map[error]hollyspur.Ending{
+		errTimedOut: hollyspur.TimedOut, errWithdrawn: hollyspur.Withdrawn} {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		go func() {
+			<-began
+			cancel(cause)
+		}()
+		if res := u.attempt(ctx, s, keyed(t), yes); res.ending != want {
+			t.Errorf("%v: ending %d, want %d", cause, res.ending, want)
+		}
+		wait(t, eof)
+	}
+	if open, _ := u.counts(); open != 0 {
+		t.Errorf("%d connections open", open)
+	}
+}
+
+// With no descriptor left an idle connection makes room, else the attempt fails without a dial.
+func TestConnectionBudget(t *testing.T) {
+	t.Parallel()
+	a, _ := stub(t, ok, false)
+	b, _ := stub(t, ok, false)
+	u, sa, sb := newTestUpstream(1), newServer(a), newServer(b)
+	for _, s := range []*server{sa, sb} {
+		if res := try(t, u, s); res.ending != hollyspur.Success {
+			t.Fatalf("ending %d", res.ending)
+		}
+	}
+	c, err := u.get(context.Background(), sb) // the only one, busy
+	if err != nil {
+		t.Fatal(err)
+	}
+	if res := try(t, u, sa); res.ending != hollyspur.Unreachable {
+		t.Errorf("over the budget: ending %d, want Unreachable", res.ending)
+	}
+	u.close(c)
+	if res := try(t, u, sa); res.ending != hollyspur.Success {
+		t.Errorf("with room again: ending %d", res.ending)
+	}
+}
+
+// A server that drains gets none of its idle connections used, nor a busy one put back.
+func TestDrainDropsIdle(t *testing.T) {
+	t.Parallel()
+	addr, _ := stub(t, ok, false)
+	u, s := newTestUpstream(10), newServer(addr)
+	try(t, u, s)
+	busy, err := u.get(context.Background(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	try(t, u, s)
+	s.usable.Store(false)
+	u.dropIdle(s)
+	u.put(s, busy)
+	if open, idle := u.counts(); open != 0 || idle != 0 {
+		t.Errorf("%d open, %d idle", open, idle)
+	}
+}
+
+func TestTimeLeftRoundTrip(t *testing.T) {
+	for _, d := range []time.Duration{time.Microsecond, 1500 * time.Millisecond} {
+		if got, err := parseTimeLeft(timeLeft(d)); err != nil || got != d {
+			t.Errorf("%v: %v, %v", d, got, err)
+		}
+	}
+}
