Survive every failed accept

Seen in reading: accept(2) passes on network errors (ENETDOWN, EPROTO and others), and http.Server.Serve ends on all that are not Temporary, which would end the node: a crash. Ruled out: EMFILE, which Serve retries by itself. Blamed: the bare listener in newNode. TestFailedAccept fails without the mend.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"math"
 	"net"
 	"net/http"
@@ -148,6 +149,23 @@
 	return time.Duration(d), nil
 }
 
+// persistentListener survives failed accepts: on Linux they also report what befell a connection or
+// the network for a moment, and http.Server gives up on most of these.
+type persistentListener struct{ net.Listener }
+
+const acceptPause = 20 * time.Millisecond
+
+func (l persistentListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return c, err
+		}
+		log.Printf("accept: %v", err)
+		time.Sleep(acceptPause)
+	}
+}
+
 func write(w http.ResponseWriter, a answer) {
 	h := w.Header()
 	h["Content-Type"] = nil // no guessing
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,7 +44,7 @@
 	callers := max(1, cfg.Sockets-reserved-upstreams)
 	l := newLoop(cfg, m, newUpstream(cfg, upstreams), newDiscovery(cfg.Discovery))
 	n := &Node{loop: l, front: newFront(l, cfg.Settings, callers), known: cfg.Known,
-		listener: netutil.LimitListener(listener, callers)}
+		listener: netutil.LimitListener(persistentListener{listener}, callers)}
 	for _, c := range cfg.Settings.Classes {
 		n.patience = max(n.patience, min(c.Deadline, maxPatience))
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -512,6 +513,45 @@
 	}
 }
 
+// failingListener fails twice before each connection.
+type failingListener struct {
+	net.Listener
+	n atomic.Int64
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	switch l.n.Add(1) % 3 {
+	case 1:
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	case 2:
+		return nil, &net.OpError{Op: "accept", Err: syscall.ENETDOWN}
+	}
+	return l.Listener.Accept()
+}
+
+// A failed accept must not end the node, whatever the reason.
+func TestFailedAccept(t *testing.T) {
+	t.Parallel()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := persistentListener{&failingListener{Listener: inner}}
+	srv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(l) }()
+	for range 2 {
+		r, _ := http.NewRequest("GET", "http://"+inner.Addr().String()+"/", nil)
+		if resp, _ := do(t, r); resp.StatusCode != 200 {
+			t.Errorf("answer %d", resp.StatusCode)
+		}
+	}
+	srv.Close()
+	if err := wait(t, served); err != http.ErrServerClosed {
+		t.Errorf("Serve: %v", err)
+	}
+}
+
 func TestReady(t *testing.T) {
 	t.Parallel()
 	n := startNode(t, testConfig("127.0.0.1:1"), nil)
