Serve callers that name no host

Seen in reading: http.Request.Write refuses a request with no host, so a caller of HTTP/1.0 without one had every attempt Void and was refused. Blamed: upstream.attempt, which took the caller's Host as it was.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -179,6 +179,26 @@
 	}
 }
 
+// A caller that names no host, as HTTP/1.0 lets it, is served like any other.
+func TestNoHost(t *testing.T) {
+	t.Parallel()
+	addr, got := stub(t, ok, false)
+	n := startNode(t, testConfig("127.0.0.1:1", serving("s", addr)), nil)
+	c, err := net.Dial("tcp", n.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "GET /read/1 HTTP/1.0\r\nX-Correlation-Id: c-1\r\nX-Time-Left: 9000m\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("answer %+v, %v", resp, err)
+	}
+	if s := wait(t, got); s.Host != addr {
+		t.Errorf("host %q", s.Host)
+	}
+}
+
 // A caller's id may come twice at once; each request gets its own answer.
 func TestSameCorrelationIDTwice(t *testing.T) {
 	t.Parallel()
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -73,6 +73,9 @@
 // attempt sends r to s once and waits for the answer until ctx ends. It writes nothing unless
 // begin agrees at the moment of writing.
 func (u *upstream) attempt(ctx context.Context, s *server, r *http.Request, begin func() bool) result {
+	if r.Host == "" { // HTTP/1.0 callers need not name one, servers want one
+		r.Host = s.addr
+	}
 	var message bytes.Buffer
 	if err := r.Write(&message); err != nil {
 		return result{ending: hollyspur.Void}
