Take a watch for broken after 4.5 s of silence

Reckoned, not measured: what discovery has to tell counts as told 6 s later at the latest, and a drain leaves 250 ms. After 5 s of silence the module's jitter and one queued call could pass that; two heartbeats and a little leave half a second more. Blamed: the constant silence. Tests: TestHeartbeats is new, and TestOneWatch no longer passes by the silence alone (both were seen to fail without the code they guard).

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -66,9 +66,10 @@
 		Size: t.Size, Boot: time.Duration(t.BootMS * float64(time.Millisecond))}
 }
 
-// silence is how long a watch may say nothing. A heartbeat comes every 2 s; a machine that was cut
-// off leaves the connection open and silent, and what it has to tell counts as told after 6 s.
-const silence = 5 * time.Second
+// silence is how long a watch may say nothing: two heartbeats, one every 2 s, and a little. A machine
+// that was cut off leaves the connection open and silent, and what discovery has to tell counts as
+// told after 6 s; the rest of these is for asking anew.
+const silence = 4500 * time.Millisecond
 
 const maxListBytes = 16 << 20
 
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -126,6 +126,31 @@
 	}
 }
 
+// Heartbeats keep a watch whose list does not change.
+func TestHeartbeats(t *testing.T) {
+	t.Parallel()
+	addr, lines, _ := registry(t)
+	d := newDiscovery(addr)
+	d.silence = time.Second
+	ended := make(chan error, 1)
+	go func() { ended <- d.watch(context.Background(), 0, nil) }()
+	longest := time.Duration(0) // between two beats; this machine may stall
+	for start, last := time.Now(), time.Now(); time.Since(start) < 2*d.silence; {
+		select {
+		case lines <- "":
+			longest, last = max(longest, time.Since(last)), time.Now()
+			time.Sleep(d.silence / 20)
+		case err := <-ended:
+			if longest = max(longest, time.Since(last)); longest < d.silence/2 {
+				t.Fatalf("ended with %v though a beat came every %v", err, longest)
+			}
+			return
+		}
+	}
+	lines <- "end"
+	wait(t, ended)
+}
+
 func TestWatchRefused(t *testing.T) {
 	t.Parallel()
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -151,7 +176,7 @@
 	t.Cleanup(s.CloseClientConnections)
 	n := startNode(t, testConfig(strings.TrimPrefix(s.URL, "http://")),
 		moduleFunc(func(hollyspur.Event) []hollyspur.Action { return nil }))
-	n.loop.post(n.loop.subscribe)
+	n.loop.post(func() { n.loop.discovery.silence = time.Hour; n.loop.subscribe() })
 	wait(t, open)
 	n.loop.post(n.loop.subscribe)
 	wait(t, open)
