Give the stopping test time on slow machines

TestStopServesWhatCame asked within the 0.5 s that a stopping node lingers: an assertion on speed. The time is a field of the node now, checked against the 0.4 s that it must outlast.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	front    *front
 	listener net.Listener
 	known    List
+	linger   time.Duration // how long a stopping node goes on as before
 	patience time.Duration // how long callers may wait for what a stopping node has taken
 }
 
@@ -43,7 +44,7 @@
 	upstreams := max(1, (cfg.Sockets-reserved)*2/5)
 	callers := max(1, cfg.Sockets-reserved-upstreams)
 	l := newLoop(cfg, m, newUpstream(cfg, upstreams), newDiscovery(cfg.Discovery))
-	n := &Node{loop: l, front: newFront(l, cfg.Settings, callers), known: cfg.Known,
+	n := &Node{loop: l, front: newFront(l, cfg.Settings, callers), known: cfg.Known, linger: linger,
 		listener: netutil.LimitListener(persistentListener{listener}, callers)}
 	for _, c := range cfg.Settings.Classes {
 		n.patience = max(n.patience, min(c.Deadline, maxPatience))
@@ -55,8 +56,8 @@
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
 const (
-	// linger is how long a stopping node goes on as before: new connections come for up to 0.4 s after
-	// the signal, and closing the listener would reset those not yet accepted.
+	// New connections come for up to 0.4 s after the signal, and closing the listener would reset those
+	// not yet accepted.
 	linger = 500 * time.Millisecond
 	// A stopping node is killed once the longest deadline, maxPatience at the most, and killedAfter
 	// more have passed. It answers everything by lastCall before that.
@@ -90,7 +91,7 @@
 	select {
 	case err := <-served:
 		return fmt.Errorf("serving callers: %w", err)
-	case <-time.After(linger):
+	case <-time.After(n.linger):
 	}
 	closing, cancel := context.WithDeadline(context.Background(), cutoff.Add(lastCall/2))
 	defer cancel()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -418,6 +418,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if n.linger <= 400*time.Millisecond {
+		t.Errorf("new connections are taken for %v only", n.linger)
+	}
+	n.linger, n.patience = 3*time.Second, limit // a slow machine gets more
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx) }()
