Don't let the time limit on reading pass for the caller's going away

Seen: with X-Time-Left of 1u a GET was answered 200 with nothing in it. The read deadline set for the body also stops net/http's watch on the connection, which then takes the caller for gone. Blamed: SetReadDeadline in front.read, set for every request to the caller's own time. Now only for one with a body, and with 10 s to spare. Ruled out: the module and the loop, which gave their answers. TestNoTimeLeft fails without the mend.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -22,6 +22,7 @@
 
 const (
 	headerTimeout = 10 * time.Second
+	bodyTimeout   = 10 * time.Second // beyond the time that the caller has left
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 16 << 10
 )
@@ -102,11 +103,14 @@
 		// Without its key the servers would run every repeat.
 		return nil, errors.New("Idempotency-Key is missing")
 	}
-	// A body that never ends must not hold the connection for longer than its caller waits. The
-	// limit is lifted afterwards: it would pass for the caller's going away.
+	// A body that never ends must not hold the connection for good. The limit leaves more than the
+	// caller's time, and is lifted afterwards: run out once the body is in, it would pass for the
+	// caller's going away, and its request would be lost.
 	rc := http.NewResponseController(w)
-	if err := rc.SetReadDeadline(time.Now().Add(left)); err != nil {
-		return nil, err
+	if hr.ContentLength != 0 {
+		if err := rc.SetReadDeadline(time.Now().Add(left + bodyTimeout)); err != nil {
+			return nil, err
+		}
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBody))
 	if err != nil {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -314,6 +314,26 @@
 	wait(t, gone)
 }
 
+// A caller with next to no time left gets a final answer too, not a closed connection.
+func TestNoTimeLeft(t *testing.T) {
+	t.Parallel()
+	addr, _ := stub(t, ok, false)
+	n := startNode(t, testConfig("127.0.0.1:1", serving("s", addr)), nil)
+	for range 20 {
+		for method, path := range map[string]string{"GET": "/read/1", "POST": "/order/1"} {
+			body := ""
+			if method == "POST" {
+				body = "body"
+			}
+			r := newRequest(t, n, method, path, body)
+			r.Header.Set("X-Time-Left", "1u")
+			if resp, _ := do(t, r); resp.StatusCode != 502 && resp.StatusCode != 503 {
+				t.Errorf("%s: answer %d", method, resp.StatusCode)
+			}
+		}
+	}
+}
+
 // A caller that closes its connection has gone: the module hears of it, and the cancel that it
 // orders closes the attempt's connection.
 func TestCallerGone(t *testing.T) {
