Abort the connection of a caller that has gone

Blamed: front.ServeHTTP, which returned on the end of the request's context without writing, and net/http answers 200 then. Ruled out: the loop, which had told the module. TestCallerHalfCloses fails without the mend.

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -80,6 +80,8 @@
 		write(w, a)
 	case <-hr.Context().Done():
 		f.loop.post(func() { f.loop.gone(r) })
+		// Returning would answer 200 with nothing in it, should the caller still read.
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -355,6 +356,25 @@
 	wait(t, closed)
 }
 
+// A caller that ends its sending has gone too. It must get no answer at all, least of all the empty 200
+// that net/http makes of a handler that wrote nothing.
+func TestCallerHalfCloses(t *testing.T) {
+	t.Parallel()
+	addr := listen(t, func(c net.Conn, r *bufio.Reader) { io.Copy(io.Discard, r) })
+	n := startNode(t, testConfig("127.0.0.1:1", serving("s", addr)), nil)
+	c, err := net.Dial("tcp", n.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "GET /read/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: c-1\r\nX-Time-Left: 60000m\r\n\r\n")
+	c.(*net.TCPConn).CloseWrite()
+	c.SetReadDeadline(time.Now().Add(limit))
+	if b, err := io.ReadAll(c); len(b) > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got %q, %v", b, err)
+	}
+}
+
 // A finished request sends nothing more; Sends past the limit or to servers not listed are Void too.
 func TestVoidSends(t *testing.T) {
 	t.Parallel()
