Go over to another discovery on SIGHUP

Cause: cmd/cranegrade caught SIGTERM and SIGINT only (main, NotifyContext), and nothing could change the watch's address (loop.discovery was set once).

Now SIGHUP is caught from main's first line. The file is read again; a bad one is logged and the old configuration kept. Another discovery is asked at once, and every 0.5 s until it first answers, for the whole list, since its revisions need not compare with the old one's; the old watch ends and its news are dropped.

--- a/cmd/cranegrade/main.go
+++ b/cmd/cranegrade/main.go
@@ -1,5 +1,5 @@
-// Command cranegrade is one real node. ROUTER_CONFIG names its configuration; SIGTERM ends it once
-// all that it has taken is answered.
+// Command cranegrade is one real node. ROUTER_CONFIG names its configuration, which SIGHUP makes it
+// read again; SIGTERM ends it once all that it has taken is answered.
 package main
 
 import (
@@ -18,15 +18,19 @@
 )
 
 func main() {
+	// First of all, for a signal that nobody catches ends the process. One waiting is enough: a reload
+	// reads what the file holds by then.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := run(ctx); err != nil {
+	if err := run(ctx, reload); err != nil {
 		fmt.Fprintf(os.Stderr, "cranegrade: %v\n", err)
 		os.Exit(1)
 	}
 }
 
-func run(ctx context.Context) error {
+func run(ctx context.Context, reload <-chan os.Signal) error {
 	path := os.Getenv("ROUTER_CONFIG")
 	if path == "" {
 		return errors.New("ROUTER_CONFIG is not set")
@@ -49,5 +53,15 @@
 		return err
 	}
 	log.Printf("listening on %s", n.Addr())
+	go func() {
+		for range reload {
+			cfg, err := node.LoadConfig(path)
+			if err != nil {
+				log.Printf("reload: %v; the configuration stays as it was", err)
+				continue
+			}
+			n.Reload(cfg)
+		}
+	}()
 	return n.Run(ctx)
 }
--- a/cmd/cranegrade/main_test.go
+++ b/cmd/cranegrade/main_test.go
@@ -35,20 +35,35 @@
 	return cmd
 }
 
-// The whole program: it gets ready, serves a request, and ends with 0 on SIGTERM.
+// The whole program: it gets ready, serves a request, goes over to another discovery on SIGHUP unless
+// the file is spoilt, and ends with 0 on SIGTERM.
 func TestProgram(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		io.WriteString(w, r.Header.Get("X-Correlation-Id"))
 	}))
 	defer server.Close()
+	moved := make(chan struct{}, 1)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case moved <- struct{}{}:
+		default:
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer discovery.Close()
 	config := filepath.Join(t.TempDir(), "config.json")
-	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+	const before = "127.0.0.1:1"
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"`+before+`","seed":"1f","limits":{"cores":1,"memory_mb":192,"sockets":1024},
 		"known":{"rev":1,"all":true,"targets":[{"uid":"s","endpoint":%q,"az":"a","state":"SERVING"}]},
 		"settings":{"lanes":[{"name":"read","effect":"read_like","target-ms":1000,"deadline-ms":2000}],"limits":{"max-attempts":3},"registry-mode":"on_request"}}`,
 		strings.TrimPrefix(server.URL, "http://"))
-	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
 	}
+	write(text)
 	cmd := command(t, config)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
@@ -66,9 +81,12 @@
 		}
 		_, listen, _ = strings.Cut(lines.Text(), "listening on ")
 	}
-	ended := make(chan error, 1)
+	ended, kept := make(chan error, 1), make(chan struct{}, 1)
 	go func() {
 		for lines.Scan() {
+			if strings.Contains(lines.Text(), "stays as it was") {
+				kept <- struct{}{}
+			}
 		}
 		ended <- cmd.Wait()
 	}()
@@ -94,6 +112,25 @@
 	if got, err := get("/read/1"); err != nil || got != "200 c-1" {
 		t.Errorf("request: %q, %v", got, err)
 	}
+	hangUp := func(text string, seen <-chan struct{}) {
+		t.Helper()
+		write(text)
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-seen:
+		case err := <-ended:
+			t.Fatalf("SIGHUP ended the program: %v", err)
+		case <-time.After(limit):
+			t.Fatal("SIGHUP did nothing")
+		}
+		if got, err := get("/read/1"); err != nil || got != "200 c-1" {
+			t.Errorf("after SIGHUP: %q, %v", got, err)
+		}
+	}
+	hangUp(`{"listen":`, kept)
+	hangUp(strings.Replace(text, before, strings.TrimPrefix(discovery.URL, "http://"), 1), moved)
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -73,6 +74,9 @@
 
 const maxListBytes = 16 << 20
 
+// unknownRev is the revision of a list that is not this discovery's.
+const unknownRev = -1
+
 // discovery opens watches. It keeps no connection between them.
 type discovery struct {
 	addr    string
@@ -85,30 +89,36 @@
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
+// at is the same for another address.
+func (d *discovery) at(addr string) *discovery {
+	return &discovery{addr: addr, silence: d.silence, client: d.client}
+}
+
 var errSilent = errors.New("silent for too long")
 
-// watch follows the list from revision since on and calls news with each message in order. It
-// returns the reason for the watch's end, which is never nil.
+// watch follows the list from revision since on and calls news with each message in order; if that
+// is unknown, with the whole list first. It returns the reason for the watch's end, which is never nil.
 func (d *discovery) watch(ctx context.Context, since int64, news func(List)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	quiet := time.AfterFunc(d.silence, func() { cancel(errSilent) })
 	defer quiet.Stop()
 
-	url := "http://" + d.addr + "/registry/instances?follow=1&since=" + strconv.FormatInt(since, 10)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return err
+	if since == unknownRev {
+		l, err := d.list(ctx)
+		if err != nil {
+			return fmt.Errorf("the whole list: %w", causeOr(ctx, err))
+		}
+		since = l.Rev
+		news(l)
+		quiet.Reset(d.silence)
 	}
-	resp, err := d.client.Do(req)
+	body, err := d.ask(ctx, "?follow=1&since="+strconv.FormatInt(since, 10))
 	if err != nil {
 		return causeOr(ctx, err)
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("discovery answers %s", resp.Status)
-	}
-	lines := bufio.NewScanner(resp.Body)
+	defer body.Close()
+	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxListBytes)
 	for lines.Scan() {
 		quiet.Reset(d.silence)
@@ -128,6 +138,41 @@
 	return errors.New("discovery ended the watch")
 }
 
+// list asks for the whole list.
+func (d *discovery) list(ctx context.Context) (List, error) {
+	body, err := d.ask(ctx, "")
+	if err != nil {
+		return List{}, err
+	}
+	defer body.Close()
+	text, err := io.ReadAll(io.LimitReader(body, maxListBytes))
+	if err != nil {
+		return List{}, err
+	}
+	l, err := parseList(text)
+	if err == nil && !l.All {
+		err = errors.New("it says that it is not whole")
+	}
+	return l, err
+}
+
+// ask calls discovery and returns the body of its answer.
+func (d *discovery) ask(ctx context.Context, query string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+"/registry/instances"+query, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, fmt.Errorf("discovery answers %s", resp.Status)
+	}
+	return resp.Body, nil
+}
+
 // causeOr is why ctx ended, if it has, else err.
 func causeOr(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -183,6 +183,63 @@
 	wait(t, closed)
 }
 
+// A reload that names another discovery asks there at once, again if that fails, and for the whole
+// list: the new one's revisions need not go on from the old one's, whose watch ends.
+func TestReloadMovesWatch(t *testing.T) {
+	t.Parallel()
+	oldAddr, oldLines, oldAsked := registry(t)
+	asked, oldEnded := make(chan string, 100), make(chan struct{})
+	fails := 1
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RawQuery
+		switch {
+		case r.URL.RawQuery != "":
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		case fails > 0:
+			fails--
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			<-oldEnded
+			fmt.Fprintln(w, message(3, true, entry("new", "SERVING")))
+		}
+	}))
+	t.Cleanup(s.CloseClientConnections)
+
+	events := make(chan hollyspur.Event, 10)
+	cfg := testConfig(oldAddr, serving("old", "127.0.0.1:1"))
+	n := startNode(t, cfg, moduleFunc(func(e hollyspur.Event) []hollyspur.Action {
+		events <- e
+		if l, is := e.(hollyspur.ServerList); is && l.Cached {
+			return []hollyspur.Action{hollyspur.Subscribe{}}
+		}
+		return nil
+	}))
+	wait(t, oldAsked)
+	wait(t, events)
+	cfg.Discovery = strings.TrimPrefix(s.URL, "http://")
+	n.Reload(cfg)
+	n.Reload(cfg) // the same again changes nothing
+	for range 2 {
+		if q := wait(t, asked); q != "" {
+			t.Fatalf("asked with %q, not for the whole list", q)
+		}
+	}
+	select {
+	case oldLines <- message(8, true, entry("stale", "SERVING")):
+		// The old watch may still be read, but counts no more.
+	default:
+	}
+	close(oldEnded)
+	if q := wait(t, asked); q != "follow=1&since=3" {
+		t.Errorf("watches with %q", q)
+	}
+	l, is := wait(t, events).(hollyspur.ServerList)
+	if !is || !l.Full || len(l.Servers) != 1 || l.Servers[0].ID != "new" {
+		t.Errorf("event %+v", l)
+	}
+}
+
 // Where the list comes unasked the node watches by itself and again after a break.
 func TestPushedList(t *testing.T) {
 	t.Parallel()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -309,17 +309,34 @@
 	}
 }
 
-// rewatch is how long a broken watch rests where the list comes unasked; elsewhere the module says.
-const rewatch = time.Second
+const (
+	// rewatch is how long a broken watch rests where the list comes unasked; elsewhere the module says.
+	rewatch = time.Second
+	// moveAgain is the rest between tries to reach a new discovery for the first time. What it has to
+	// tell counts as told 4 s after the reload, which leaves no time for the module's growing waits.
+	moveAgain = 500 * time.Millisecond
+)
+
+// moveWatch goes over to the discovery at another address. Its revisions do not compare with those
+// of the one before, so it is asked for the whole list first.
+func (l *loop) moveWatch(addr string) {
+	if addr == l.discovery.addr {
+		return
+	}
+	log.Printf("discovery is at %s from now on", addr)
+	l.discovery = l.discovery.at(addr)
+	l.rev = unknownRev
+	l.subscribe()
+}
 
 // subscribe opens a watch in place of the one before.
 func (l *loop) subscribe() {
 	l.stopWatch()
 	ctx, cancel := context.WithCancel(context.Background())
 	l.stopWatch = cancel
-	since := l.rev
+	d, since := l.discovery, l.rev
 	go func() {
-		err := l.discovery.watch(ctx, since, func(list List) {
+		err := d.watch(ctx, since, func(list List) {
 			l.post(func() {
 				if ctx.Err() == nil { // else a newer watch tells the same
 					l.takeList(list, false)
@@ -327,13 +344,27 @@
 			})
 		})
 		l.post(func() {
-			if ctx.Err() == nil {
-				log.Printf("watch: %v", err)
-				l.handle(hollyspur.ListFailed{})
-				if l.pushed {
-					l.after(rewatch, l.subscribe)
-				}
+			if ctx.Err() != nil {
+				return
+			}
+			log.Printf("watch: %v", err)
+			if l.rev == unknownRev {
+				l.subscribeAfter(ctx, moveAgain)
+				return
+			}
+			l.handle(hollyspur.ListFailed{})
+			if l.pushed {
+				l.subscribeAfter(ctx, rewatch)
 			}
 		})
 	}()
 }
+
+// subscribeAfter opens a watch when d has passed, unless another than that of ctx was opened by then.
+func (l *loop) subscribeAfter(ctx context.Context, d time.Duration) {
+	l.after(d, func() {
+		if ctx.Err() == nil {
+			l.subscribe()
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,11 @@
 // Addr is the address that the node listens on.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
+// Reload goes over to the discovery that cfg names. All else in it is for the next start.
+func (n *Node) Reload(cfg Config) {
+	n.loop.post(func() { n.loop.moveWatch(cfg.Discovery) })
+}
+
 const (
 	// New connections come for up to 0.4 s after the signal, and closing the listener would reset those
 	// not yet accepted.
