Keep callers' connections for longer after SIGTERM

Cause: Run closed callers' idle connections 0.5 s after the signal (linger), though callers use them for as long as they stay open and had no other node to turn to.

Connections stay open until a second before the time by which all must be answered.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"net"
 	"time"
 
@@ -44,11 +45,12 @@
 	upstreams := max(1, (cfg.Sockets-reserved)*2/5)
 	callers := max(1, cfg.Sockets-reserved-upstreams)
 	l := newLoop(cfg, m, newUpstream(cfg, upstreams), newDiscovery(cfg.Discovery))
-	n := &Node{loop: l, front: newFront(l, cfg.Settings, callers), known: cfg.Known, linger: linger,
+	n := &Node{loop: l, front: newFront(l, cfg.Settings, callers), known: cfg.Known,
 		listener: netutil.LimitListener(persistentListener{listener}, callers)}
 	for _, c := range cfg.Settings.Classes {
 		n.patience = max(n.patience, min(c.Deadline, maxPatience))
 	}
+	n.linger = max(minLinger, n.patience-settling)
 	return n, nil
 }
 
@@ -63,7 +65,10 @@
 const (
 	// New connections come for up to 0.4 s after the signal, and closing the listener would reset those
 	// not yet accepted.
-	linger = 500 * time.Millisecond
+	minLinger = 500 * time.Millisecond
+	// Callers go on using the connections that they have, and may have no other node to turn to: these
+	// stay open until what comes on them would hardly be answered before the kill.
+	settling = time.Second
 	// A stopping node is killed once the longest deadline, maxPatience at the most, and killedAfter
 	// more have passed. It answers everything by lastCall before that.
 	maxPatience = 3 * time.Second
@@ -91,6 +96,8 @@
 	case <-ctx.Done():
 	}
 
+	log.Print("told to stop")
+	defer log.Print("stopped")
 	cutoff := time.Now().Add(n.patience + killedAfter - lastCall)
 	n.loop.after(time.Until(cutoff), n.loop.abandonAll)
 	select {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -54,6 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	n.linger = 0 // no test that is over waits for callers
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx) }()
@@ -458,8 +459,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if n.linger <= 400*time.Millisecond {
-		t.Errorf("new connections are taken for %v only", n.linger)
+	// Callers that have a connection and no other node are served on for most of the time until the kill.
+	if n.linger != 2*time.Second {
+		t.Errorf("connections stay open for %v of %v", n.linger, n.patience)
 	}
 	n.linger, n.patience = 3*time.Second, limit // a slow machine gets more
 	ctx, cancel := context.WithCancel(context.Background())
