Close callers' useless connections for room; turn away what can't be used

Causes: netutil.LimitListener (node.go) stops accepting when callers' connections are all there are descriptors for, and idleTimeout was 2 min; front.read never saw a Content-Length beside a Transfer-Encoding (net/http drops it) and parsed on behind the last chunk.

callers.go takes LimitListener's place: full, it closes the connection that has been quiet longest, never one with a request taken or bytes unread. A request may take 2.5 s to come, bodies together a tenth of the memory. After a refusal the connection closes.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -23,7 +23,8 @@
 // request is a caller's request. The loop owns it, but for what the front fills in before accept
 // and for the atomic.
 type request struct {
-	id       string // ours: a caller's id may come twice
+	id       string // ours: a caller's id may come again
+	callerID string
 	class    string
 	repeat   bool
 	cost     time.Duration
@@ -75,6 +76,7 @@
 
 	queue     []hollyspur.Event // for the module, in order
 	requests  map[string]*request
+	callerIDs map[string]bool // of requests
 	servers   map[string]*server
 	rev       int64 // of the list we hold
 	nextID    uint64
@@ -85,7 +87,7 @@
 	return &loop{clock: clock{time.Now()}, module: m, upstream: up, discovery: disc,
 		maxAttempts: cfg.Settings.MaxAttempts, pushed: !cfg.Settings.AskDiscovery,
 		events: make(chan func(), 1024), done: make(chan struct{}),
-		requests: map[string]*request{}, servers: map[string]*server{},
+		requests: map[string]*request{}, callerIDs: map[string]bool{}, servers: map[string]*server{},
 		stopWatch: func() {}}
 }
 
@@ -155,6 +157,13 @@
 
 // accept takes a request from the front.
 func (l *loop) accept(r *request) {
+	if l.callerIDs[r.callerID] {
+		// Passed on it would be a second copy of the one that is open.
+		r.finished.Store(true)
+		r.answer <- answer{status: http.StatusConflict}
+		return
+	}
+	l.callerIDs[r.callerID] = true
 	l.nextID++
 	r.id = strconv.FormatUint(l.nextID, 10)
 	l.requests[r.id] = r
@@ -204,14 +213,18 @@
 
 // close finishes a request; false if it was before.
 func (l *loop) close(r *request) bool {
+	if !r.finished.CompareAndSwap(false, true) {
+		return false
+	}
 	r.lastCall.Stop()
-	return r.finished.CompareAndSwap(false, true)
+	return true
 }
 
 // forget drops a request that is finished and has no attempt out.
 func (l *loop) forget(r *request) {
 	if r.finished.Load() && r.out == 0 {
 		delete(l.requests, r.id)
+		delete(l.callerIDs, r.callerID)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,8 +9,6 @@
 	"net"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"hollyspur"
 )
 
@@ -45,8 +43,7 @@
 	upstreams := max(1, (cfg.Sockets-reserved)*2/5)
 	callers := max(1, cfg.Sockets-reserved-upstreams)
 	l := newLoop(cfg, m, newUpstream(cfg, upstreams), newDiscovery(cfg.Discovery))
-	n := &Node{loop: l, front: newFront(l, cfg.Settings, callers), known: cfg.Known,
-		listener: netutil.LimitListener(persistentListener{listener}, callers)}
+	n := &Node{loop: l, front: newFront(l, cfg), known: cfg.Known, listener: newCallers(listener, callers)}
 	for _, c := range cfg.Settings.Classes {
 		n.patience = max(n.patience, min(c.Deadline, maxPatience))
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -243,20 +243,7 @@
 
 // alive says that an idle connection is still open and holds no bytes: a server that closed it
 // would reset the next request, and leftover bytes would pass for that request's answer.
-func (c *conn) alive() bool {
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && alive
-}
+func (c *conn) alive() bool { return peek(c.Conn) == syscall.EAGAIN }
 
 // dropIdle closes the idle connections to a server.
 func (u *upstream) dropIdle(s *server) {
