Bound answers from servers and how long a begun one is waited for

Seen from reading and confirmed by the failing test: an answer with too long a length, a head without end or a body that stops held its attempt until the request's time was up, and http.ReadResponse took heads of any size; a 503 with X-Unprocessed counted as never run though its body broke off. Cause: upstream.go, exchange and readResponse (no limit, no time; Overloaded before whole).

A head has 32 KiB, interim answers included, a begun answer 0.5 s; a declared length over the limit is refused unread; only a whole answer counts for anything but Broken. Connections rest 10 ms after an answer.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,17 @@
 // maxBody is the most that a body holds, either way.
 const maxBody = 64 << 10
 
+// Bounds of an answer, lest a spoilt one takes memory without end or the rest of its request's time.
+const (
+	maxHeads = 32 << 10    // bytes of the head and any interim ones before it
+	maxWire  = 4 * maxBody // bytes of a body with the framing of its chunks
+	// wholeWithin is how long an answer takes from its first byte to its last: it is written at once.
+	wholeWithin = 500 * time.Millisecond
+	// settled is how long a connection rests after an answer. What a server sends behind one comes
+	// within that and is seen before the next request is written; it would pass for its answer.
+	settled = 10 * time.Millisecond
+)
+
 // server is a listed server as the I/O sees it.
 type server struct {
 	id, addr string
@@ -46,6 +58,8 @@
 type upstream struct {
 	idleFor        time.Duration // ours are closed after standing idle for so long
 	connectTimeout time.Duration
+	wholeWithin    time.Duration
+	settled        time.Duration
 
 	mu   sync.Mutex
 	idle map[*server][]*conn // the latest used last
@@ -57,7 +71,8 @@
 type conn struct {
 	net.Conn
 	r     *bufio.Reader
-	since time.Time // idle since
+	limit *io.LimitedReader // under r
+	since time.Time         // idle since
 }
 
 func newUpstream(cfg Config, most int) *upstream {
@@ -65,6 +80,8 @@
 		// Clearly before the server closes it: a request that crosses the close is lost to a reset.
 		idleFor:        cfg.Conns.Idle * 3 / 4,
 		connectTimeout: cfg.Conns.ConnectWithin,
+		wholeWithin:    wholeWithin,
+		settled:        settled,
 		idle:           map[*server][]*conn{},
 		most:           most,
 	}
@@ -97,7 +114,7 @@
 		return result{ending: hollyspur.Unreachable}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() }) // all that stops an exchange
-	res, keep := exchange(ctx, c, r, message.Bytes())
+	res, keep := u.exchange(ctx, c, r, message.Bytes())
 	if stop() && keep {
 		u.put(s, c)
 	} else {
@@ -108,7 +125,7 @@
 
 // exchange writes one request and reads its answer. keep tells whether the connection can carry
 // another.
-func exchange(ctx context.Context, c *conn, r *http.Request, message []byte) (res result, keep bool) {
+func (u *upstream) exchange(ctx context.Context, c *conn, r *http.Request, message []byte) (res result, keep bool) {
 	if _, err := c.Write(message); err != nil {
 		// Not all of it was written, so it can't have run.
 		if ctx.Err() != nil {
@@ -116,36 +133,61 @@
 		}
 		return result{ending: hollyspur.Unreachable}, false
 	}
-	resp, err := readResponse(c.r, r)
+	resp, body, err := u.read(c, r)
 	if err != nil {
 		return result{ending: endingOf(ctx)}, false
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	resp.Body.Close()
-	// An answer framed by the connection's end can't be told from one that was cut short.
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	whole := err == nil && len(body) <= maxBody && framed
 	switch {
-	case resp.StatusCode == http.StatusOK && whole:
-		res = result{hollyspur.Success, body, resp.Header.Get("Content-Type")}
 	case resp.StatusCode == http.StatusOK:
-		res.ending = endingOf(ctx)
+		res = result{hollyspur.Success, body, resp.Header.Get("Content-Type")}
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Unprocessed") == "1":
 		res.ending = hollyspur.Overloaded
 	default:
 		res.ending = hollyspur.Failure
 	}
-	return res, whole && !resp.Close && c.r.Buffered() == 0
+	return res, !resp.Close && c.r.Buffered() == 0 && c.SetReadDeadline(time.Time{}) == nil
 }
 
-// readResponse skips interim answers.
-func readResponse(br *bufio.Reader, r *http.Request) (*http.Response, error) {
+var (
+	errUnframed = errors.New("the answer's length is not told")
+	errTooLong  = errors.New("the answer is too long")
+)
+
+// read reads a whole answer. An error says that what came is none, whatever its head said of whether
+// the request has run.
+func (u *upstream) read(c *conn, r *http.Request) (*http.Response, []byte, error) {
+	c.limit.N = maxHeads
 	for {
-		resp, err := http.ReadResponse(br, r)
-		if err != nil || resp.StatusCode >= 200 {
-			return resp, err
+		if _, err := c.r.Peek(1); err != nil {
+			return nil, nil, err
 		}
+		if err := c.SetReadDeadline(time.Now().Add(u.wholeWithin)); err != nil {
+			return nil, nil, err
+		}
+		resp, err := http.ReadResponse(c.r, r)
+		if err != nil {
+			return nil, nil, err
+		}
+		if resp.StatusCode < 200 { // an interim answer, after which the server may take its time
+			if err := c.SetReadDeadline(time.Time{}); err != nil {
+				return nil, nil, err
+			}
+			continue
+		}
+		switch {
+		case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+			// Framed by the connection's end, it can't be told from one that was cut short.
+			return nil, nil, errUnframed
+		case resp.ContentLength > maxBody:
+			return nil, nil, errTooLong
+		}
+		c.limit.N = maxWire
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+		if err == nil && len(body) > maxBody {
+			err = errTooLong
+		}
+		return resp, body, err
 	}
 }
 
@@ -162,7 +204,7 @@
 
 var errNoRoom = errors.New("no descriptor left for another connection")
 
-// get takes the idle connection used last, or dials.
+// get takes the settled connection used last, or dials.
 func (u *upstream) get(ctx context.Context, s *server) (*conn, error) {
 	for {
 		c := u.takeIdle(s)
@@ -183,19 +225,21 @@
 		u.release()
 		return nil, err
 	}
-	return &conn{Conn: nc, r: bufio.NewReader(nc)}, nil
+	limit := &io.LimitedReader{R: nc}
+	return &conn{Conn: nc, r: bufio.NewReader(limit), limit: limit}, nil
 }
 
 func (u *upstream) takeIdle(s *server) *conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	l := u.idle[s]
-	if len(l) == 0 {
-		return nil
+	for i, c := range slices.Backward(l) {
+		if time.Since(c.since) >= u.settled {
+			u.idle[s] = slices.Delete(l, i, i+1)
+			return c
+		}
 	}
-	c := l[len(l)-1]
-	u.idle[s] = l[:len(l)-1]
-	return c
+	return nil
 }
 
 // reserve counts a connection to be dialled. With none left an idle one of any server makes room.
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -15,7 +15,9 @@
 )
 
 func newTestUpstream(most int) *upstream {
-	return newUpstream(testConfig("127.0.0.1:1"), most)
+	u := newUpstream(testConfig("127.0.0.1:1"), most)
+	u.wholeWithin, u.settled = limit, 0 // a slow machine gets more, and no test waits for it
+	return u
 }
 
 func newServer(addr string) *server {
@@ -82,8 +84,10 @@
 		"unframed body":     {"HTTP/1.1 200 OK\r\n\r\nperhaps all", hollyspur.Broken, false},
 		"body over 64 KiB":  {"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537), hollyspur.Broken, false},
 		"body of 64 KiB":    {"HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", 65536), hollyspur.Success, true},
-		"half an error":     {"HTTP/1.1 500 E\r\nContent-Length: 9\r\n\r\nhalf", hollyspur.Failure, false},
-		"half turned away":  {"HTTP/1.1 503 E\r\nX-Unprocessed: 1\r\nContent-Length: 9\r\n\r\nhalf", hollyspur.Overloaded, false},
+		"half an error":     {"HTTP/1.1 500 E\r\nContent-Length: 9\r\n\r\nhalf", hollyspur.Broken, false},
+		"half turned away":  {"HTTP/1.1 503 E\r\nX-Unprocessed: 1\r\nContent-Length: 9\r\n\r\nhalf", hollyspur.Broken, false},
+		"two lengths":       {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi", hollyspur.Broken, false},
+		"many interim":      {strings.Repeat("HTTP/1.1 102 P\r\nA: b\r\n\r\n", 10) + ok, hollyspur.Success, true},
 		"unframed and 1.0":  {"HTTP/1.0 200 OK\r\n\r\nperhaps all", hollyspur.Broken, false},
 		"1.0 with a length": {"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nhi", hollyspur.Success, false},
 	} {
@@ -113,6 +117,82 @@
 	}
 }
 
+// Spoilt answers on connections that stay open end the attempt by themselves: it neither takes memory
+// without bound nor waits for the rest of the request's time.
+func TestSpoiltAnswerOnOpenConnection(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct{ answer, andOn string }{
+		"noise":            {"\x00\x01\x02", ""},
+		"noise on":         {"", "\x00\x01\x02"},
+		"half a head":      {"HTTP/1.1 200 OK\r\nContent-Le", ""},
+		"endless head":     {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"endless interim":  {"", "HTTP/1.1 102 P\r\nA: b\r\n\r\n"},
+		"half a body":      {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", ""},
+		"3 GB":             {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", "x"},
+		"endless chunks":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"no length":        {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+		"half turned away": {"HTTP/1.1 503 E\r\nX-Unprocessed: 1\r\nContent-Length: 9\r\n\r\nhalf", ""},
+	} {
+		addr := listen(t, func(conn net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			io.WriteString(conn, c.answer)
+			for c.andOn != "" {
+				if _, err := io.WriteString(conn, strings.Repeat(c.andOn, 1000)); err != nil {
+					return
+				}
+			}
+			io.Copy(io.Discard, r)
+		})
+		u := newTestUpstream(10)
+		u.wholeWithin = 50 * time.Millisecond
+		if res := try(t, u, newServer(addr)); res.ending != hollyspur.Broken {
+			t.Errorf("%s: ending %d", name, res.ending)
+		}
+		if open, _ := u.counts(); open != 0 {
+			t.Errorf("%s: %d connections open", name, open)
+		}
+	}
+}
+
+// The time for a whole answer begins with its first byte, and not with an interim one's.
+func TestWorkAfterInterim(t *testing.T) {
+	t.Parallel()
+	work := make(chan struct{})
+	addr := listen(t, func(conn net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			io.WriteString(conn, "HTTP/1.1 102 Processing\r\n\r\n")
+			<-work
+			io.WriteString(conn, ok)
+		}
+	})
+	u := newTestUpstream(10)
+	u.wholeWithin = 100 * time.Millisecond
+	time.AfterFunc(3*u.wholeWithin, func() { close(work) })
+	if res := try(t, u, newServer(addr)); res.ending != hollyspur.Success {
+		t.Errorf("ending %d", res.ending)
+	}
+}
+
+// A connection rests after an answer, for what comes right behind it may come after a look.
+func TestConnectionSettles(t *testing.T) {
+	t.Parallel()
+	addr, _ := stub(t, ok, false)
+	u, s := newTestUpstream(10), newServer(addr)
+	u.settled = time.Hour
+	try(t, u, s)
+	try(t, u, s)
+	if open, idle := u.counts(); open != 2 || idle != 2 {
+		t.Errorf("%d open, %d idle", open, idle)
+	}
+	u.settled = 0
+	try(t, u, s)
+	if open, idle := u.counts(); open != 2 || idle != 2 {
+		t.Errorf("once settled %d open, %d idle", open, idle)
+	}
+}
+
 // A reused connection that breaks once the request is written is an attempt that may have run: it
 // must not be sent again behind the module's back, GET or keyed though it be.
 func TestNoHiddenResend(t *testing.T) {
