Bound the log, and the rate of failing watches

A failed watch now rests 50 ms before the module hears of it, and the log passes 20 lines a second and counts the rest: malformed input at any socket must not fill it.

--- a/cmd/cranegrade/main.go
+++ b/cmd/cranegrade/main.go
@@ -39,6 +39,7 @@
 	if err != nil {
 		return err
 	}
+	log.SetOutput(&calmWriter{to: os.Stderr})
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
 	log.SetPrefix(cfg.Name + " ")
 	if cfg.MemoryMB > 0 {
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -163,6 +163,28 @@
 	}
 }
 
+// A module that asks again at once does not make the node hammer a discovery that fails.
+func TestFailedWatchRests(t *testing.T) {
+	t.Parallel()
+	asked := make(chan struct{}, 100)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- struct{}{}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(s.Close)
+	cfg := testConfig(strings.TrimPrefix(s.URL, "http://"))
+	cfg.Settings.AskWithin = 0
+	startNode(t, cfg, nil)
+	wait(t, asked)
+	start := time.Now()
+	for range 4 {
+		wait(t, asked)
+	}
+	if took := time.Since(start); took < 3*watchRest {
+		t.Errorf("five watches within %v", took)
+	}
+}
+
 // One watch at a time: a second Subscribe ends the first, whose news count no more.
 func TestOneWatch(t *testing.T) {
 	t.Parallel()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -328,6 +328,8 @@
 	// moveAgain is the rest between tries to reach a new discovery for the first time. What it has to
 	// tell counts as told 4 s after the reload, which leaves no time for the module's growing waits.
 	moveAgain = 500 * time.Millisecond
+	// watchRest follows every failure, whatever the module's wait: it has none if AskWithin is unset.
+	watchRest = 50 * time.Millisecond
 )
 
 // moveWatch goes over to the discovery at another address. Its revisions do not compare with those
@@ -361,23 +363,19 @@
 				return
 			}
 			log.Printf("watch: %v", err)
-			if l.rev == unknownRev {
-				l.subscribeAfter(ctx, moveAgain)
-				return
-			}
-			l.handle(hollyspur.ListFailed{})
-			if l.pushed {
-				l.subscribeAfter(ctx, rewatch)
+			rest, then := watchRest, func() { l.handle(hollyspur.ListFailed{}) }
+			switch {
+			case l.rev == unknownRev:
+				rest, then = moveAgain, l.subscribe
+			case l.pushed:
+				rest, then = rewatch, l.subscribe
+				l.handle(hollyspur.ListFailed{})
 			}
+			l.after(rest, func() {
+				if ctx.Err() == nil { // else another was opened meanwhile
+					then()
+				}
+			})
 		})
 	}()
 }
-
-// subscribeAfter opens a watch when d has passed, unless another than that of ctx was opened by then.
-func (l *loop) subscribeAfter(ctx context.Context, d time.Duration) {
-	l.after(d, func() {
-		if ctx.Err() == nil {
-			l.subscribe()
-		}
-	})
-}
