Pass on answers over 64 KiB within a budget of memory

A probe of refused requests showed all their attempts Broken within milliseconds, at one server after another; a second, of the error, that the answer was too long; a third, lengths of 147 to 313 KB, the same from every server: so no spoilt answers, but what these requests get. Cause: upstream.go refused whatever a server declares over 64 KiB, as the protocol has it. Ruled out: reused connections (new ones ended so too), resets, the module (it tried all servers).

--- a/internal/node/front.go
+++ b/internal/node/front.go
@@ -100,6 +100,7 @@
 	select {
 	case a := <-r.answer:
 		write(w, a)
+		f.loop.upstream.free(a.body)
 	case <-hr.Context().Done():
 		f.loop.post(func() { f.loop.gone(r) })
 		// Returning would answer 200 with nothing in it, should the caller still read.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -199,16 +199,24 @@
 	if l.close(r) {
 		l.handle(hollyspur.ClientGone{ID: r.id})
 		l.forget(r)
+		return
+	}
+	select {
+	case a := <-r.answer: // which nobody will read
+		l.upstream.free(a.body)
+	default:
 	}
 }
 
-// finish gives a request its final answer, once.
-func (l *loop) finish(id string, a answer) {
+// finish gives a request its final answer, once; false if it had one.
+func (l *loop) finish(id string, a answer) bool {
 	r := l.requests[id]
-	if r != nil && l.close(r) {
-		r.answer <- a
-		l.forget(r)
+	if r == nil || !l.close(r) {
+		return false
 	}
+	r.answer <- a
+	l.forget(r)
+	return true
 }
 
 // close finishes a request; false if it was before.
@@ -270,8 +278,9 @@
 	r := at.req
 	at.cancel(nil)
 	r.out--
-	if res.ending == hollyspur.Success {
-		l.finish(r.id, answer{status: http.StatusOK, body: res.body, contentType: res.contentType})
+	if res.ending == hollyspur.Success &&
+		!l.finish(r.id, answer{status: http.StatusOK, body: res.body, contentType: res.contentType}) {
+		l.upstream.free(res.body)
 	}
 	l.forget(r)
 	return hollyspur.Outcome{ID: r.id, Attempt: at.n, Server: at.server, Ending: res.ending,
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -18,14 +19,22 @@
 	"hollyspur"
 )
 
-// maxBody is the most that a body holds, either way.
-const maxBody = 64 << 10
+const (
+	// maxBody is the most that a body holds, either way.
+	maxBody = 64 << 10
+	// maxAnswer is the most that is taken of servers which do not keep to that, as long as there is
+	// room for it: to the caller such an answer is as good, and all servers give the same.
+	maxAnswer = 16 * maxBody
+	// answersShare of the memory is for answers over maxBody.
+	answersShare = 0.15
+)
 
 // Bounds of an answer, lest a spoilt one takes memory without end or the rest of its request's time.
 const (
 	maxHeads = 32 << 10    // bytes of the head and any interim ones before it
-	maxWire  = 4 * maxBody // bytes of a body with the framing of its chunks
+	maxWire  = 4 * maxBody // bytes of a body in chunks with their framing
 	// wholeWithin is how long an answer takes from its first byte to its last: it is written at once.
+	// One over maxBody has so long for each.
 	wholeWithin = 500 * time.Millisecond
 	// settled is how long a connection rests after an answer. What a server sends behind one comes
 	// within that and is seen before the next request is written; it would pass for its answer.
@@ -60,6 +69,7 @@
 	connectTimeout time.Duration
 	wholeWithin    time.Duration
 	settled        time.Duration
+	room           atomic.Int64 // bytes left for answers over maxBody
 
 	mu   sync.Mutex
 	idle map[*server][]*conn // the latest used last
@@ -76,7 +86,7 @@
 }
 
 func newUpstream(cfg Config, most int) *upstream {
-	return &upstream{
+	u := &upstream{
 		// Clearly before the server closes it: a request that crosses the close is lost to a reset.
 		idleFor:        cfg.Conns.Idle * 3 / 4,
 		connectTimeout: cfg.Conns.ConnectWithin,
@@ -85,6 +95,11 @@
 		idle:           map[*server][]*conn{},
 		most:           most,
 	}
+	u.room.Store(math.MaxInt64)
+	if cfg.MemoryMB > 0 {
+		u.room.Store(int64(cfg.MemoryMB * answersShare * (1 << 20)))
+	}
+	return u
 }
 
 // attempt sends r to s once and waits for the answer until ctx ends. It writes nothing unless
@@ -137,6 +152,9 @@
 	if err != nil {
 		return result{ending: endingOf(ctx)}, false
 	}
+	if resp.StatusCode != http.StatusOK {
+		u.free(body)
+	}
 	switch {
 	case resp.StatusCode == http.StatusOK:
 		res = result{hollyspur.Success, body, resp.Header.Get("Content-Type")}
@@ -175,19 +193,49 @@
 			}
 			continue
 		}
-		switch {
-		case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-			// Framed by the connection's end, it can't be told from one that was cut short.
-			return nil, nil, errUnframed
-		case resp.ContentLength > maxBody:
-			return nil, nil, errTooLong
-		}
+		body, err := u.readBody(c, resp)
+		return resp, body, err
+	}
+}
+
+func (u *upstream) readBody(c *conn, resp *http.Response) ([]byte, error) {
+	n := resp.ContentLength
+	switch {
+	case n < 0 && len(resp.TransferEncoding) == 0:
+		// Framed by the connection's end, it can't be told from one that was cut short.
+		return nil, errUnframed
+	case n < 0:
 		c.limit.N = maxWire
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 		if err == nil && len(body) > maxBody {
 			err = errTooLong
 		}
-		return resp, body, err
+		return body, err
+	case n > maxAnswer:
+		return nil, errTooLong
+	case n > maxBody:
+		if u.room.Add(-n) < 0 {
+			u.room.Add(n)
+			return nil, errTooLong
+		}
+		if err := c.SetReadDeadline(time.Now().Add(u.wholeWithin * time.Duration(1+n/maxBody))); err != nil {
+			u.room.Add(n)
+			return nil, err
+		}
+	}
+	c.limit.N = n
+	body := make([]byte, n)
+	_, err := io.ReadFull(resp.Body, body)
+	if err != nil {
+		u.free(body)
+	}
+	return body, err
+}
+
+// free gives back the room of an answer that is written or that nobody wants.
+func (u *upstream) free(body []byte) {
+	if len(body) > maxBody {
+		u.room.Add(int64(len(body)))
 	}
 }
 
