What one server has beyond its part, and servers with no room, are no part of the window

Change: a server that turned calls away counts in the window by the room it showed; own calls at a server beyond its part of the window, plus one, are not counted as admitted; the least latency is let go in step with the part of the list that is new.

--- a/policy.go
+++ b/policy.go
@@ -55,6 +55,7 @@
 	subsetShare = 3.0 // and at the least this many times its fair share of the servers
 
 	bareMemory = memory / 128 // weight of an answer in forgetting the least mean that busyRatio is of
+	newMemory  = 0.25         // and times its weight in the mean for the part of the list that is new
 )
 
 // New returns a Balancer that knows no servers yet. The error names the setting at fault.
@@ -190,7 +191,10 @@
 	}
 	b.cutGroups()
 	if before > 0 && len(b.ready) > 0 {
-		b.window *= float64(len(b.ready)) / before // what a server takes has not changed with their number
+		after := float64(len(b.ready))
+		b.window *= after / before // what a server takes has not changed with their number
+		// The least latency was other servers': those left may be slower, and those that came are cold.
+		b.fresh = min(1, b.fresh+math.Abs(after-before)/max(after, before))
 	}
 	if b.window > 0 && b.vain <= mostVain {
 		b.window = max(b.window, windowFloor*b.fairServers())
@@ -929,7 +933,8 @@
 }
 
 // admitted is how many own calls are out at listed servers: those at one that drains are no load on the
-// others. At one that hangs they count, for in overload every server is slow to answer.
+// others, nor is what one has beyond its part, or a choked one would keep an idle one idle. At one that hangs
+// they count, for in overload every server is slow to answer.
 func (b *Balancer) admitted() float64 {
 	b.countUsable()
 	return float64(b.inFlight-b.astray) + b.ghosts(0, 1)
@@ -961,13 +966,15 @@
 	if b.usableAt < 0 || b.now >= b.usableAt+max(b.set.Tick, 1) {
 		b.usable, b.usableAt, b.astray = 0, b.now, 0
 		out := 0
+		part := b.window / max(1, float64(len(b.subset)))
 		for _, s := range b.ready {
+			b.astray += max(0, s.calls-max(crowding, 1+int(part)))
 			if b.now < s.until || b.silent(s) {
 				out++
 			} else if w := b.warmth(s); w < 1 {
 				b.usable += b.coldRoom(w) / windowFloor
 			} else {
-				b.usable++
+				b.usable += min(1, float64(b.roomy(s))/max(1, part))
 			}
 		}
 		if len(b.servers) > len(b.ready) {
@@ -1029,7 +1036,8 @@
 	// first rounds the shortest come first, so they don't tell the least.
 	b.pace += weight * (math.Log(max(min(over, 1), 1e-6)) - b.pace)
 	if b.answers++; b.answers > 2*windowStart*b.fairServers() {
-		b.bare = min(b.pace, b.bare+bareMemory*(b.pace-b.bare))
+		b.bare = min(b.pace, b.bare+max(bareMemory, weight*b.fresh)*(b.pace-b.bare))
+		b.fresh -= newMemory * weight * b.fresh
 	} else {
 		b.bare = b.pace
 	}
--- a/state.go
+++ b/state.go
@@ -33,12 +33,13 @@
 	window    float64 // own calls admitted at once (first tier)
 	usable    float64 // share of the ready servers that may take calls, and when that was counted; <0: stale
 	usableAt  time.Duration
-	astray    int           // own calls out at servers that are not ready
+	astray    int           // own calls out at servers that are not ready, or beyond the part of one that is
 	fill      float64       // mean latency over aim
 	debt      float64       // time that calls hold servers, beyond what the window allows, in ns
 	pace      float64       // mean log of latency over aim
 	answers   float64       // that these are of
 	bare      float64       // least pace seen, forgetting slowly
+	fresh     float64       // part of the list that it is not of yet
 	debtAt    time.Duration // when that was reckoned
 	inFlight  int
 	vain      float64 // share of calls that were given up on, late
