--- a/cmd/cranegrade/main.go
+++ b/cmd/cranegrade/main.go
@@ -5,6 +5,8 @@
 //	cranegrade check FILE...    says what is wrong with operator's files
 //	cranegrade proxy-check ENVOY_FILE -config FILE
 //	                            says what in a proxy's configuration would leave decisions unheeded
+//	cranegrade proxy-config -config FILE -mode MODE
+//	                            prints the proxy's side for a file
 //	cranegrade xds dump -config FILE
 //	                            what the running node holds of clusters and endpoints
 //
@@ -31,7 +33,7 @@
 )
 
 func main() {
-	program.Main(node.Options{XDS: openXDS, ExtProc: newExtProc}, proxyCheckCommand)
+	program.Main(node.Options{XDS: openXDS, ExtProc: newExtProc}, proxyCheckCommand, proxyConfigCommand)
 }
 
 // openXDS dials the control planes of an operator's file.
@@ -45,7 +47,8 @@
 // newExtProc makes the front for proxies that ask.
 func newExtProc(l net.Listener, x operator.ExtProc, clock engine.Clock, n *node.Node) node.Front {
 	return extproc.New(l, extproc.Config{Clock: clock, Routes: questions{n}, Within: x.Within, Linger: x.Linger, Retries: x.Retries,
-		Streams: uint32(x.Streams), Rate: x.Rate, ID: x.ID, Clear: x.Clear, Slim: x.Slim, TimeLeft: x.TimeLeft, Known: int(x.Known)})
+		Streams: uint32(x.Streams), Rate: x.Rate, ID: x.ID, Clear: x.Clear, Slim: x.Slim, TimeLeft: x.TimeLeft, Known: int(x.Known),
+		RetryHeader: x.RetryHeader})
 }
 
 // questions finds the pools of proxies' questions by the node's routes.
--- a/cmd/cranegrade/proxycheck.go
+++ b/cmd/cranegrade/proxycheck.go
@@ -66,9 +66,18 @@
 	if err != nil {
 		return nil, err
 	}
-	found, err := envoyconf.Check(text, envoyconf.Facts{DecideWithin: plan.ExtProc.Within, Retries: plan.ExtProc.Retries})
+	found, err := envoyconf.Check(text, facts(plan))
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", file, err)
 	}
 	return found, nil
 }
+
+// facts are what a proxy's configuration must fit.
+func facts(plan operator.Plan) envoyconf.Facts {
+	f := envoyconf.Facts{DecideWithin: plan.ExtProc.Within, Retries: plan.ExtProc.Retries, RetryHeader: plan.ExtProc.RetryHeader}
+	for _, p := range plan.Pools {
+		f.Spares = max(f.Spares, p.Settings.Spares)
+	}
+	return f
+}
--- a/cmd/drill/extproc.go
+++ b/cmd/drill/extproc.go
@@ -9,18 +9,32 @@
 	"syscall"
 	"time"
 
+	"hollyspur/internal/envoyconf"
 	"hollyspur/internal/standin"
 	"hollyspur/internal/standin/proxy"
 )
 
 // extText is the operator's file of a node that proxies ask.
-func extText(listen, more string, g *group) string {
-	return fmt.Sprintf("default = %q\n[ext_proc]\nlisten = %q\n%s\n", g.name, listen, more) + poolText(g.name, g.registryText())
+func extText(listen, more string, g *group, pool ...string) string {
+	return fmt.Sprintf("default = %q\n[ext_proc]\nlisten = %q\n%s\n", g.name, listen, more) + poolText(g.name, g.registryText(), pool...)
+}
+
+// retriesOf is how often a proxy may try again.
+func retriesOf(mode envoyconf.Mode) int {
+	if mode == envoyconf.EveryTry || mode == envoyconf.Fallbacks {
+		return 2
+	}
+	return 0
 }
 
 // proxies starts proxies that ask the program.
 func (r *rig) proxies(n int, cfg proxy.Config) (l []*proxy.Proxy, err error) {
-	cfg.Processor = r.node.addr
+	cfg.Processor, cfg.Classes = r.node.addr, allClasses
+	for _, g := range r.groups {
+		for _, s := range g.servers {
+			cfg.Endpoints = append(cfg.Endpoints, s.Addr())
+		}
+	}
 	cfg.Timeout = 200*time.Millisecond + r.slack
 	for i := range n {
 		p, err := proxy.New(fmt.Sprintf("p%d-%d", len(r.asking), i), r.rec, cfg)
@@ -35,12 +49,13 @@
 
 // extFigures are those of the proxies.
 func (r *rig) extFigures() {
-	var decisions, immediate, unanswered int64
+	var decisions, immediate, unanswered, sent, heeded int64
 	var waits []time.Duration
 	for _, p := range r.asking {
 		decisions += p.Decisions.Load()
 		immediate += p.Immediate.Load()
 		unanswered += p.Unanswered.Load()
+		sent, heeded = sent+p.Sent.Load(), heeded+p.Heeded.Load()
 		p.Waits.Lock()
 		waits = append(waits, p.Waits.L...)
 		p.Waits.Unlock()
@@ -49,6 +64,11 @@
 	r.figure("decisions", decisions, "questions answered with a server")
 	r.figure("immediate", immediate, "questions answered with a final answer")
 	r.figure("unanswered", unanswered, "questions without a word within the proxy's message time-out")
+	r.figure("sent", sent, "tries that the proxies sent to a server")
+	r.figure("heeded", heeded, "and to one that was named for it")
+	if heeded != sent {
+		r.failf("%d of %d tries went elsewhere than decided", sent-heeded, sent)
+	}
 	r.figure("word_p50_ms", quantile(waits, 0.5), "from a question to the word")
 	r.figure("word_p99_ms", quantile(waits, 0.99), "")
 }
@@ -59,9 +79,24 @@
 	return r.drive(ctx, faults, send, streams)
 }
 
+// settings are what a mode of asking wants in [ext_proc] and in the pool.
+func settings(mode envoyconf.Mode) (ext, pool string) {
+	switch mode {
+	case envoyconf.EveryTry:
+		return "retries = true\n", ""
+	case envoyconf.Fallbacks:
+		return "", "fallbacks = 2"
+	}
+	return "", ""
+}
+
 // extproc has three proxies ask for each request; in the middle a rolling deploy replaces 77 % of the
 // servers, and a burst of 5,000 questions comes within 200 ms of its end.
-func extproc(ctx context.Context, r *rig) error {
+func extproc(mode envoyconf.Mode) func(context.Context, *rig) error {
+	return func(ctx context.Context, r *rig) error { return r.extproc(ctx, mode) }
+}
+
+func (r *rig) extproc(ctx context.Context, mode envoyconf.Mode) error {
 	const host = "ext.example.org"
 	cfgs := make([]standin.ServerConfig, 26)
 	for i := range cfgs {
@@ -71,13 +106,14 @@
 	if err != nil {
 		return err
 	}
-	if err := r.start(extText("127.0.0.1:0", "", g)); err != nil {
+	ext, more := settings(mode)
+	if err := r.start(extText("127.0.0.1:0", ext, g, more)); err != nil {
 		return err
 	}
 	if err := r.settle(g); err != nil {
 		return err
 	}
-	l, err := r.proxies(3, proxy.Config{})
+	l, err := r.proxies(3, proxy.Config{Mode: mode, Retries: retriesOf(mode)})
 	if err != nil {
 		return err
 	}
@@ -121,25 +157,30 @@
 
 // extprocChaos has proxies that drop the side channel, try again whatever happened, use servers of their
 // own liking, and answer clients by themselves; and a processor that dies and starts again.
-func extprocChaos(ctx context.Context, r *rig) error {
+func extprocChaos(mode envoyconf.Mode) func(context.Context, *rig) error {
+	return func(ctx context.Context, r *rig) error { return r.extprocChaos(ctx, mode) }
+}
+
+func (r *rig) extprocChaos(ctx context.Context, mode envoyconf.Mode) error {
 	const host = "ext.example.org"
 	g, err := r.group("ext", host, inCell(usual, 1), inCell(usual, 1), inCell(usual, 2), inCell(usual, 2), inCell(usual, 2))
 	if err != nil {
 		return err
 	}
-	if err := r.start(extText("127.0.0.1:0", "retries = true\n", g)); err != nil {
+	ext, more := settings(mode)
+	if err := r.start(extText("127.0.0.1:0", ext, g, more)); err != nil {
 		return err
 	}
 	if err := r.settle(g); err != nil {
 		return err
 	}
-	good, err := r.proxies(2, proxy.Config{Retries: 2})
+	good, err := r.proxies(2, proxy.Config{Mode: mode, Retries: retriesOf(mode)})
 	if err != nil {
 		return err
 	}
 	var n int
 	var mu sync.Mutex
-	dropping, err := r.proxies(2, proxy.Config{Retries: 2, Greedy: true, Drop: func() bool {
+	dropping, err := r.proxies(2, proxy.Config{Mode: mode, Retries: retriesOf(mode), Greedy: mode == envoyconf.EveryTry, Drop: func() bool {
 		mu.Lock()
 		defer mu.Unlock()
 		n++
@@ -167,7 +208,7 @@
 			r.node.mu.Unlock()
 			r.node.cmd.Process.Signal(syscall.SIGKILL)
 			<-r.node.ended
-			again, err := r.again(extText(r.node.addr, "retries = true\n", g))
+			again, err := r.again(extText(r.node.addr, ext, g, more))
 			if err != nil {
 				r.failf("starting the processor again: %v", err)
 				return
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"hollyspur/internal/audit"
+	"hollyspur/internal/envoyconf"
 )
 
 // scenario is a drill.
@@ -39,14 +40,20 @@
 	{"xds", "an assignment of 10,000 endpoints from a control plane, drained under load", 10 * time.Second, xds},
 	{"xds-chaos", "control planes that do everything wrong, and three services that go on", 14 * time.Second, xdsChaos},
 	{"xds-size", "200 clusters with 10,000 endpoints, 50 changes a second: CPU a change, and memory", 20 * time.Second, xdsSize},
-	{"extproc", "three proxies that ask, a rolling deploy, and a burst of 5,000 questions", 12 * time.Second, extproc},
-	{"extproc-chaos", "careless proxies, servers that fail, and a processor that dies", 12 * time.Second, extprocChaos},
+	{"extproc", "three proxies that ask, a rolling deploy, and a burst of 5,000 questions", 12 * time.Second, extproc(envoyconf.ByHeader)},
+	{"extproc-metadata", "the same, the decision heeded by metadata", 12 * time.Second, extproc(envoyconf.ByMetadata)},
+	{"extproc-fallbacks", "the same, the proxies go down the list", 12 * time.Second, extproc(envoyconf.Fallbacks)},
+	{"extproc-every-try", "the same, every try is asked for", 12 * time.Second, extproc(envoyconf.EveryTry)},
+	{"extproc-chaos", "careless proxies that ask for every try, servers that fail, and a processor that dies", 12 * time.Second, extprocChaos(envoyconf.EveryTry)},
+	{"extproc-chaos-header", "the same, asked once for each request", 12 * time.Second, extprocChaos(envoyconf.ByHeader)},
+	{"extproc-chaos-fallbacks", "the same, and the proxies go down the list", 12 * time.Second, extprocChaos(envoyconf.Fallbacks)},
 	{"extproc-crowd", "2,000 questions at once to a processor that has just started, for 200 idle servers", 6 * time.Second, extprocCrowd},
 	{"overload", "two tiers, the lower one for a while too slow for what comes; against a fixed limit and none", 16 * time.Second, overload("overload")},
 	{"overload-restart", "a rolling restart of the upper tier", 16 * time.Second, overload("overload-restart")},
 	{"overload-start", "ten times the capacity at the very start", 12 * time.Second, overload("overload-start")},
 	{"overload-creep", "a slow creep to twice the capacity, and back", 20 * time.Second, overload("overload-creep")},
 	{"overload-pools", "a hundred pools, the servers of ten of them ten times as slow for a while", 12 * time.Second, overloadPools},
+	{"overload-tenants", "one tenant floods beside three that keep to their quotas; told quotas, equal parts, nothing", 15 * time.Second, overloadTenants},
 	{"load", "requests a second, times and CPU of the node on one core; with -vs against another program, in pairs", 20 * time.Second, load},
 }
 
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -40,8 +40,8 @@
 	Ended(Answer)
 }
 
-// maxTenant is how much of a tenant's name the module is told.
-const maxTenant = 64
+// MaxTenant is how many bytes of a tenant's name the module is told.
+const MaxTenant = 64
 
 // Call is a caller's request. The front fills in the exported fields before Submit and leaves them
 // alone after it.
@@ -52,7 +52,7 @@
 	Last     time.Duration // clock time at which the engine answers for it
 	Repeat   bool          // the caller marked it as a repeat
 	Cost     time.Duration // hint of its work; 0: none
-	Tenant   string        // who asks, as far as the front can tell; maxTenant bytes of it count
+	Tenant   string        // who asks, as far as the front can tell; MaxTenant bytes of it count
 	Payload  any           // what the sender sends
 	To       Receiver
 
@@ -127,7 +127,7 @@
 		}
 	})
 	e.handle(hollyspur.Request{ID: c.id, Class: c.Class, Deadline: c.Deadline, Repeat: c.Repeat, Cost: c.Cost,
-		Tenant: c.Tenant[:min(len(c.Tenant), maxTenant)]})
+		Tenant: c.Tenant[:min(len(c.Tenant), MaxTenant)]})
 	if e.cfg.Held == nil || c.finished.Load() || len(c.attempts) > 0 {
 		return
 	}
--- a/internal/envoyconf/check.go
+++ b/internal/envoyconf/check.go
@@ -14,11 +14,13 @@
 
 	bootstrapv3 "github.com/envoyproxy/go-control-plane/envoy/config/bootstrap/v3"
 	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
+	listenerv3 "github.com/envoyproxy/go-control-plane/envoy/config/listener/v3"
 	routev3 "github.com/envoyproxy/go-control-plane/envoy/config/route/v3"
 	extprocv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/ext_proc/v3"
 	routerv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/router/v3"
 	hcmv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/network/http_connection_manager/v3"
 	overridev3 "github.com/envoyproxy/go-control-plane/envoy/extensions/load_balancing_policies/override_host/v3"
+	subsetv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/load_balancing_policies/subset/v3"
 	httpv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/upstreams/http/v3"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
@@ -34,6 +36,8 @@
 type Facts struct {
 	DecideWithin time.Duration // how long it may take for a word
 	Retries      bool          // it expects to be asked for every try
+	Spares       int           // it names so many servers beside the chosen one at the most
+	RetryHeader  string        // set in its answers to a try if there may be another; "": it says nothing
 }
 
 // Finding is something wrong.
@@ -57,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &checker{facts: facts, clusters: map[string]*clusterv3.Cluster{}, paths: map[string]string{}}
+	c := &checker{facts: facts, clusters: map[string]*clusterv3.Cluster{}, paths: map[string]string{}, inner: map[string]bool{}}
 	for i, cl := range b.GetStaticResources().GetClusters() {
 		c.clusters[cl.GetName()], c.paths[cl.GetName()] = cl, fmt.Sprintf("static_resources.clusters[%d]", i)
 	}
@@ -72,6 +76,8 @@
 	found    []Finding
 	asking   int // filters that ask, at the right place
 	lost     bool
+
+	inner map[string]bool // internal listeners whose connection manager asks
 }
 
 func (c *checker) add(path, problem, mend string) {
@@ -83,19 +89,53 @@
 	return a.MessageIs(to) && a.UnmarshalTo(to) == nil
 }
 
-func (c *checker) bootstrap(b *bootstrapv3.Bootstrap) {
+// managers calls f for each connection manager of a bootstrap.
+func managers(b *bootstrapv3.Bootstrap, f func(path string, l *listenerv3.Listener, m *hcmv3.HttpConnectionManager)) {
 	for i, l := range b.GetStaticResources().GetListeners() {
-		chains := l.GetFilterChains()
 		path := fmt.Sprintf("static_resources.listeners[%d]", i)
-		for j, chain := range chains {
-			for k, f := range chain.GetFilters() {
+		for j, chain := range l.GetFilterChains() {
+			for k, one := range chain.GetFilters() {
 				m := &hcmv3.HttpConnectionManager{}
-				if as(f.GetTypedConfig(), m) {
-					c.manager(fmt.Sprintf("%s.filter_chains[%d].filters[%d]", path, j, k), m)
+				if as(one.GetTypedConfig(), m) {
+					f(fmt.Sprintf("%s.filter_chains[%d].filters[%d]", path, j, k), l, m)
 				}
 			}
 		}
 	}
+}
+
+// internalOf is the name of the internal listener that a cluster leads to; "": it leads elsewhere.
+func internalOf(cl *clusterv3.Cluster) string {
+	for _, e := range cl.GetLoadAssignment().GetEndpoints() {
+		for _, le := range e.GetLbEndpoints() {
+			if name := le.GetEndpoint().GetAddress().GetEnvoyInternalAddress().GetServerListenerName(); name != "" {
+				return name
+			}
+		}
+	}
+	return ""
+}
+
+func (c *checker) bootstrap(b *bootstrapv3.Bootstrap) {
+	managers(b, func(_ string, l *listenerv3.Listener, m *hcmv3.HttpConnectionManager) {
+		for _, f := range m.GetHttpFilters() {
+			if l.GetInternalListener() != nil && f.GetTypedConfig().MessageIs(&extprocv3.ExternalProcessor{}) {
+				c.inner[l.GetName()] = true
+			}
+		}
+	})
+	led := map[string]bool{} // internal listeners that an outer route leads to
+	managers(b, func(path string, l *listenerv3.Listener, m *hcmv3.HttpConnectionManager) {
+		c.manager(path, l.GetInternalListener() != nil, m)
+		if l.GetInternalListener() == nil {
+			c.outer(path, m, led)
+		}
+	})
+	managers(b, func(path string, l *listenerv3.Listener, m *hcmv3.HttpConnectionManager) {
+		if c.inner[l.GetName()] && !led[l.GetName()] {
+			c.add(path, "no route leads to this internal listener, so nobody is asked", "have the outer route's cluster name it as its envoy_internal_address")
+		}
+	})
 	for _, cl := range b.GetStaticResources().GetClusters() {
 		c.upstreamFilters(cl)
 	}
@@ -123,8 +163,89 @@
 	}
 }
 
+// outer checks a connection manager whose routes lead to one behind an internal listener, which asks for every
+// try. What that one asks for is as good as what this one lets through.
+func (c *checker) outer(path string, m *hcmv3.HttpConnectionManager, led map[string]bool) {
+	leads := false
+	for i, vh := range m.GetRouteConfig().GetVirtualHosts() {
+		host := fmt.Sprintf("%s.route_config.virtual_hosts[%d]", path, i)
+		for j, r := range vh.GetRoutes() {
+			name := internalOf(c.clusters[r.GetRoute().GetCluster()])
+			if !c.inner[name] {
+				continue
+			}
+			leads, led[name] = true, true
+			c.everyTry(fmt.Sprintf("%s.routes[%d]", host, j), host, vh, r)
+		}
+		if leads && !vh.GetIncludeRequestAttemptCount() {
+			c.add(host+".include_request_attempt_count", "the processor is not told which try it is asked for, and a caller's own count reaches it",
+				"set include_request_attempt_count: true")
+		}
+	}
+	if leads {
+		c.edge(path, m)
+	}
+}
+
+// everyTry checks a route whose tries are each asked for.
+func (c *checker) everyTry(path, host string, vh *routev3.VirtualHost, r *routev3.Route) {
+	p, at := r.GetRoute().GetRetryPolicy(), path+".route.retry_policy"
+	if p == nil {
+		p, at = vh.GetRetryPolicy(), host+".retry_policy"
+	}
+	switch on := strings.FieldsFunc(p.GetRetryOn(), func(r rune) bool { return r == ',' || r == ' ' }); {
+	case !c.facts.Retries:
+		if len(on) > 0 {
+			c.add(at, "the processor's file has no retries = true, so it takes each try for the last and answers for good", "set it, or take the policy out")
+		}
+	case len(on) == 0:
+		c.add(at, "the processor's file has retries = true, and the proxy never tries again, so what may be tried waits for nothing", "retry on retriable-headers")
+	default:
+		for _, x := range on {
+			if x != "retriable-headers" {
+				c.add(at+".retry_on", fmt.Sprintf("%q has the proxy try again on its own, also what the processor has given up", x),
+					"retry on retriable-headers alone: the processor says in its answers whether there is another try")
+			}
+		}
+		named := false
+		for _, h := range p.GetRetriableHeaders() {
+			named = named || strings.EqualFold(h.GetName(), c.facts.RetryHeader)
+		}
+		if !named {
+			c.add(at+".retriable_headers", "none of them is the header by which the processor allows another try", "name "+c.facts.RetryHeader)
+		}
+		off := func(l []string) bool {
+			return slices.ContainsFunc(l, func(x string) bool { return strings.EqualFold(x, c.facts.RetryHeader) })
+		}
+		if named && !off(vh.GetResponseHeadersToRemove()) && !off(r.GetResponseHeadersToRemove()) {
+			c.add(host+".response_headers_to_remove", "callers see the header that is between the proxy and the processor, and may be proxies that believe it", "name "+c.facts.RetryHeader)
+		}
+	}
+	if vh.GetHedgePolicy() != nil {
+		c.hedge(host + ".hedge_policy")
+	}
+	if r.GetRoute().GetHedgePolicy() != nil {
+		c.hedge(path + ".route.hedge_policy")
+	}
+}
+
+// edge checks what a connection manager lets through from callers.
+func (c *checker) edge(path string, m *hcmv3.HttpConnectionManager) {
+	if !m.GetUseRemoteAddress().GetValue() {
+		c.add(path+".use_remote_address", "it is not set, so x-envoy-* headers of callers are believed: their retry policies, time-outs and attempt counts",
+			"set use_remote_address: true where callers connect from outside")
+	}
+	if m.GetPreserveExternalRequestId() {
+		c.add(path+".preserve_external_request_id", "a caller's x-request-id is kept, so he can name another's open request",
+			"leave it out, or tell the processor another id_header that the proxy sets")
+	}
+	if m.GetGenerateRequestId() != nil && !m.GetGenerateRequestId().GetValue() {
+		c.add(path+".generate_request_id", "requests have no id of the proxy's making, so tries cannot be matched", "leave it out: it is true by default")
+	}
+}
+
 // manager checks a connection manager that asks.
-func (c *checker) manager(path string, m *hcmv3.HttpConnectionManager) {
+func (c *checker) manager(path string, inner bool, m *hcmv3.HttpConnectionManager) {
 	at, router := -1, -1
 	filter := &extprocv3.ExternalProcessor{}
 	for i, f := range m.GetHttpFilters() {
@@ -147,16 +268,8 @@
 		c.add(here, "the processor comes after the router, which ends the chain, so it is never asked", "put it before the router")
 	}
 	c.filter(here, filter)
-	if !m.GetUseRemoteAddress().GetValue() {
-		c.add(path+".use_remote_address", "it is not set, so x-envoy-* headers of callers are believed: their retry policies, time-outs and attempt counts",
-			"set use_remote_address: true where callers connect from outside")
-	}
-	if m.GetPreserveExternalRequestId() {
-		c.add(path+".preserve_external_request_id", "a caller's x-request-id is kept, so he can name another's open request",
-			"leave it out, or tell the processor another id_header that the proxy sets")
-	}
-	if m.GetGenerateRequestId() != nil && !m.GetGenerateRequestId().GetValue() {
-		c.add(path+".generate_request_id", "requests have no id of the proxy's making, so tries cannot be matched", "leave it out: it is true by default")
+	if !inner {
+		c.edge(path, m)
 	}
 	if m.GetRouteConfig() == nil {
 		c.add(path+".route_config", "the routes are not in this file, so nothing is known of clusters and retries", "check the routes that the proxy is sent as well")
@@ -164,16 +277,22 @@
 	}
 	for i, vh := range m.GetRouteConfig().GetVirtualHosts() {
 		host := fmt.Sprintf("%s.route_config.virtual_hosts[%d]", path, i)
-		c.retries(host+".retry_policy", vh.GetRetryPolicy(), filter)
+		c.retries(host+".retry_policy", vh.GetRetryPolicy(), nil)
 		if vh.GetHedgePolicy() != nil {
 			c.hedge(host + ".hedge_policy")
 		}
+		again := false
 		for j, r := range vh.GetRoutes() {
 			c.route(fmt.Sprintf("%s.routes[%d]", host, j), r, filter)
+			again = again || r.GetRoute().GetRetryPolicy().GetRetryOn() != "" && override(c.clusters[r.GetRoute().GetCluster()]) != nil
 		}
-		if c.facts.Retries && !vh.GetIncludeRequestAttemptCount() {
-			c.add(host+".include_request_attempt_count", "the processor's file has retries on, and the proxy does not tell which try it asks for",
-				"set include_request_attempt_count: true")
+		if again && !vh.GetIncludeAttemptCountInResponse() {
+			c.add(host+".include_attempt_count_in_response", "the processor is not told that a fallback was tried, so it takes the last try's word for all of them",
+				"set include_attempt_count_in_response: true")
+		}
+		if c.facts.Retries && !inner {
+			c.add(host, "the processor's file has retries = true, and this filter is asked once for all tries: what may be tried again waits for nothing",
+				"ask behind an internal listener (proxy-config -mode every-try), or turn retries off in the processor's file")
 		}
 	}
 }
@@ -233,7 +352,7 @@
 	if a == nil {
 		return
 	}
-	c.retries(path+".route.retry_policy", a.GetRetryPolicy(), f)
+	c.retries(path+".route.retry_policy", a.GetRetryPolicy(), c.clusters[a.GetCluster()])
 	if a.GetHedgePolicy() != nil {
 		c.hedge(path + ".route.hedge_policy")
 	}
@@ -253,6 +372,10 @@
 	path := c.paths[cl.GetName()]
 	const mend = "use type ORIGINAL_DST with original_dst_lb_config.use_http_header, or the load-balancing policy override_host"
 	if o := cl.GetOriginalDstLbConfig(); cl.GetType() == clusterv3.Cluster_ORIGINAL_DST {
+		if c.facts.Spares > 0 {
+			c.add(path+".type", "the processor's file has fallbacks, so it names a list of servers, which is no address: such requests go nowhere",
+				"take fallbacks out of the pools, or use the load-balancing policy override_host")
+		}
 		switch key := o.GetMetadataKey(); {
 		case key != nil:
 			c.metadata(path+".original_dst_lb_config.metadata_key", key.GetKey(), f)
@@ -293,25 +416,48 @@
 	}
 }
 
-// retries checks a policy by which the proxy tries again. A filter of the connection manager is asked once for
-// all tries.
-func (c *checker) retries(path string, p *routev3.RetryPolicy, f *extprocv3.ExternalProcessor) {
+// retries checks a policy by which the proxy tries again after a filter that is asked once for all tries. Then
+// the next host must be of the processor's list.
+func (c *checker) retries(path string, p *routev3.RetryPolicy, cl *clusterv3.Cluster) {
 	if p == nil || p.GetRetryOn() == "" {
 		return
 	}
-	if !c.facts.Retries {
+	o := override(cl)
+	if o == nil {
 		c.add(path, "the proxy tries again without asking, also what must not run twice, and on top of what the module counts",
-			"take it out; or be asked for every try behind an internal listener, with retries = true in the processor's file")
+			"take it out; or go down the processor's list (proxy-config -mode fallbacks), or be asked for every try (-mode every-try)")
 		return
 	}
-	for _, on := range strings.Split(p.GetRetryOn(), ",") {
-		switch strings.TrimSpace(on) {
-		case "retriable-headers", "connect-failure":
-		default:
-			c.add(path+".retry_on", fmt.Sprintf("%q has the proxy try again what may have run, whatever the processor says", strings.TrimSpace(on)),
-				"retry on retriable-headers alone, which the processor sets in its answers")
+	if !ends(o) {
+		c.add(path, "past the processor's list the fallback policy takes a host that nobody decided",
+			"make the fallback policy one that finds none: envoy.load_balancing_policies.subset with NO_FALLBACK")
+	}
+	if most := uint32(c.facts.Spares); p.GetNumRetries().GetValue() > most {
+		c.add(path+".num_retries", fmt.Sprintf("%d further tries, and the processor names %d further servers", p.GetNumRetries().GetValue(), most),
+			"make it no more than the pool's fallbacks")
+	}
+}
+
+// override is a cluster's policy override_host; nil: it has another.
+func override(cl *clusterv3.Cluster) *overridev3.OverrideHost {
+	for _, p := range cl.GetLoadBalancingPolicy().GetPolicies() {
+		o := &overridev3.OverrideHost{}
+		if as(p.GetTypedExtensionConfig().GetTypedConfig(), o) {
+			return o
+		}
+	}
+	return nil
+}
+
+// ends says that without a host that the processor named there is none.
+func ends(o *overridev3.OverrideHost) bool {
+	for _, p := range o.GetFallbackPolicy().GetPolicies() {
+		s := &subsetv3.Subset{}
+		if as(p.GetTypedExtensionConfig().GetTypedConfig(), s) {
+			return s.GetFallbackPolicy() == subsetv3.Subset_NO_FALLBACK && len(s.GetSubsetSelectors()) == 0
 		}
 	}
+	return false
 }
 
 func (c *checker) hedge(path string) {
--- a/internal/envoyconf/check_test.go
+++ b/internal/envoyconf/check_test.go
@@ -105,7 +105,8 @@
 		{"another header by policy", dst, override("{ header: x-other }"), chosen + ".load_balancing_policy.policies[0].override_host_sources", asked},
 		{"after the router", "                http_filters:\n", "                http_filters:\n" + router, hcm + ".http_filters[1]", asked},
 		{"nobody asks", "type.googleapis.com/envoy.extensions.filters.http.ext_proc.v3.ExternalProcessor", "type.googleapis.com/some.Other", "static_resources.listeners", asked},
-		{"does not count tries", "timeout: 6s }", "timeout: 6s }", hcm + ".route_config.virtual_hosts[0].include_request_attempt_count", Facts{DecideWithin: time.Millisecond, Retries: true}},
+		{"a list is no address", "timeout: 6s }", "timeout: 6s }", chosen + ".type", Facts{DecideWithin: time.Millisecond, Spares: 1}},
+		{"waits for tries that never ask", "timeout: 6s }", "timeout: 6s }", hcm + ".route_config.virtual_hosts[0]", Facts{DecideWithin: time.Millisecond, Retries: true}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -128,6 +129,90 @@
 	}
 }
 
+var facts = map[Mode]Facts{ByHeader: asked, ByMetadata: asked, Fallbacks: {DecideWithin: asked.DecideWithin, Spares: 2},
+	EveryTry: {DecideWithin: asked.DecideWithin, Retries: true, RetryHeader: "x-again"}}
+
+func build(t testing.TB, m Mode) string {
+	t.Helper()
+	text, err := Build(Proxy{Mode: m, Processor: "127.0.0.1:9002", Facts: facts[m], Spares: facts[m].Spares, Retries: 2, Streams: 100,
+		Endpoints: []string{"127.0.0.1:1", "127.0.0.1:2"}, Classes: []Class{{"read", 2 * time.Second, true}, {"order", 6 * time.Second, false}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// What is built is good, in each mode; and what can't be is refused.
+func TestBuild(t *testing.T) {
+	for _, m := range Modes {
+		if found, err := Check([]byte(build(t, m)), facts[m]); err != nil || len(found) > 0 {
+			t.Errorf("%s: %v, %v", m, found, err)
+		}
+	}
+	for name, p := range map[string]Proxy{
+		"no mode":               {Mode: "x", Processor: "a:1"},
+		"retries beside":        {Mode: ByHeader, Processor: "a:1", Facts: facts[EveryTry]},
+		"no retries":            {Mode: EveryTry, Processor: "a:1", Facts: asked},
+		"no header":             {Mode: EveryTry, Processor: "a:1", Facts: Facts{Retries: true}},
+		"a list by header":      {Mode: ByHeader, Processor: "a:1", Facts: asked, Spares: 2},
+		"a list of one":         {Mode: Fallbacks, Processor: "a:1", Facts: asked},
+		"no processor":          {Mode: ByHeader, Facts: asked},
+		"an address that isn't": {Mode: ByHeader, Listen: "x", Processor: "a:1", Facts: asked},
+	} {
+		if text, err := Build(p); err == nil {
+			t.Errorf("%s: %s", name, text)
+		}
+	}
+}
+
+// Each change to what is built for a mode is found, at its place.
+func TestFaultsOfModes(t *testing.T) {
+	const (
+		outer = "static_resources.listeners[0].filter_chains[0].filters[0]"
+		inner = "static_resources.listeners[1].filter_chains[0].filters[0]"
+		host  = ".route_config.virtual_hosts[0]"
+	)
+	cases := []struct {
+		mode           Mode
+		name, old, new string
+		path           string
+	}{
+		{EveryTry, "retries by itself", "retry_on: retriable-headers", `retry_on: "retriable-headers,connect-failure"`, outer + host + ".routes[0].route.retry_policy.retry_on"},
+		{EveryTry, "another header", `retriable_headers: [{ name: "x-again"`, `retriable_headers: [{ name: "x-other"`, outer + host + ".routes[0].route.retry_policy.retriable_headers"},
+		{EveryTry, "shows the header", `response_headers_to_remove: ["x-again"]`, `response_headers_to_remove: ["x-other"]`, outer + host + ".response_headers_to_remove"},
+		{EveryTry, "never tries again", "retry_on: retriable-headers", `retry_on: ""`, outer + host + ".routes[0].route.retry_policy"},
+		{EveryTry, "counts no tries", "include_request_attempt_count: true", "include_request_attempt_count: false", outer + host + ".include_request_attempt_count"},
+		{EveryTry, "believes callers", "use_remote_address: true", "use_remote_address: false", outer + ".use_remote_address"},
+		{EveryTry, "keeps callers' ids", "use_remote_address: true", "preserve_external_request_id: true\n                use_remote_address: true", outer + ".preserve_external_request_id"},
+		{EveryTry, "two at once", "cluster: every-try\n", "cluster: every-try\n                            hedge_policy: { hedge_on_per_try_timeout: true }\n", outer + host + ".routes[0].route.hedge_policy"},
+		{EveryTry, "retries inside as well", "route: { cluster: chosen, timeout: 6.05s }", "route: { cluster: chosen, timeout: 6.05s, retry_policy: { retry_on: reset } }", inner + host + ".routes[0].route.retry_policy"},
+		{EveryTry, "leads elsewhere", "server_listener_name: every-try", "server_listener_name: other", inner},
+		{EveryTry, "fails open inside", "failure_mode_allow: false", "failure_mode_allow: true", inner + ".http_filters[0].failure_mode_allow"},
+		{Fallbacks, "past the list", "fallback_policy: NO_FALLBACK", "fallback_policy: ANY_ENDPOINT", outer + host + ".routes[0].route.retry_policy"},
+		{Fallbacks, "more tries than servers", "num_retries: 2", "num_retries: 3", outer + host + ".routes[0].route.retry_policy.num_retries"},
+		{Fallbacks, "does not tell tries", "include_attempt_count_in_response: true", "include_attempt_count_in_response: false", outer + host + ".include_attempt_count_in_response"},
+		{Fallbacks, "metadata kept out", `receiving_namespaces: { untyped: ["envoy.lb"] }`, `receiving_namespaces: { untyped: ["other"] }`, "static_resources.clusters[0].load_balancing_policy.policies[0].override_host_sources[0].metadata"},
+		{ByMetadata, "another namespace", "metadata: { key: envoy.lb, path", "metadata: { key: other, path", "static_resources.clusters[0].load_balancing_policy.policies[0].override_host_sources[0].metadata"},
+		{ByMetadata, "tries again past a list of one", "route: { cluster: chosen, timeout: 6.05s }", "route: { cluster: chosen, timeout: 6.05s, retry_policy: { retry_on: reset, num_retries: 1 } }", outer + host + ".routes[0].route.retry_policy.num_retries"},
+		{ByHeader, "tries again", "route: { cluster: chosen, timeout: 6.05s }", "route: { cluster: chosen, timeout: 6.05s, retry_policy: { retry_on: reset } }", outer + host + ".routes[0].route.retry_policy"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			text := build(t, c.mode)
+			if !strings.Contains(text, c.old) {
+				t.Fatalf("there is no %q in\n%s", c.old, text)
+			}
+			found, err := Check([]byte(strings.Replace(text, c.old, c.new, 1)), facts[c.mode])
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(found) == 0 || found[0].Path != c.path {
+				t.Errorf("found %v, want %q", found, c.path)
+			}
+		})
+	}
+}
+
 // What is no configuration gives an error and nothing else.
 func TestNoConfiguration(t *testing.T) {
 	for name, text := range map[string]string{
--- a/internal/envoyconf/parse.go
+++ b/internal/envoyconf/parse.go
@@ -6,7 +6,11 @@
 	"fmt"
 
 	bootstrapv3 "github.com/envoyproxy/go-control-plane/envoy/config/bootstrap/v3"
-	_ "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/upstream_codec/v3" // in examples
+	_ "github.com/envoyproxy/go-control-plane/envoy/extensions/bootstrap/internal_listener/v3" // in examples
+	_ "github.com/envoyproxy/go-control-plane/envoy/extensions/filters/http/upstream_codec/v3"
+	_ "github.com/envoyproxy/go-control-plane/envoy/extensions/load_balancing_policies/random/v3"
+	_ "github.com/envoyproxy/go-control-plane/envoy/extensions/transport_sockets/internal_upstream/v3"
+	_ "github.com/envoyproxy/go-control-plane/envoy/extensions/transport_sockets/raw_buffer/v3"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/reflect/protoregistry"
 	"sigs.k8s.io/yaml"
--- a/internal/extproc/stream/stream.go
+++ b/internal/extproc/stream/stream.go
@@ -66,6 +66,9 @@
 	// an earlier try. A proxy words what it does not know as 503, which promises that trying again does
 	// no harm: such an answer is reworded to 502.
 	Unsafe, Ran bool
+	// RetryHeader is set in the answer to a failed try if there may be another, and taken off any other; what
+	// may be is asked with an Outcome and told by Judge. "": nothing is said, and the answer goes on at once.
+	RetryHeader string
 	// Message is the Word of this decision, made before and only read; nil: it is made anew.
 	Message *extproc.ProcessingResponse
 }
@@ -83,12 +86,14 @@
 	Reply struct{ Message *extproc.ProcessingResponse }
 	// Ask has the engine asked; Decide or Answer follow.
 	Ask struct{ Question *Question }
-	// Outcome says how the attempt ended, as far as the proxy tells. Answered: the client has its answer.
+	// Outcome says how the attempt ended, as far as the proxy tells. Answered: the client has its answer, or
+	// will have. Judging: the answer waits for Judge, which says whether the proxy may try again.
 	Outcome struct {
 		Ending   hollyspur.Ending
 		Status   int    // of the server's answer; 0: none came
 		Served   string // the endpoint that served, if the proxy says so
 		Answered bool
+		Judging  bool
 	}
 	// Lost says that the stream ended while a decision was awaited: nothing is owed any more.
 	Lost struct{}
@@ -105,6 +110,7 @@
 	fresh    phase = iota // nothing came yet
 	asking                // the decision is awaited
 	decided               // the decision is on its way, the response is awaited
+	judging               // the response has come, and whether there is another try is awaited
 	answered              // the client has its answer: of the server, or ours
 	over
 )
@@ -123,6 +129,8 @@
 	booked   bool // an Outcome was given
 	unsafe   bool // Decision's
 	ran      bool
+	retry    string
+	status   int // of the answer that is judged
 	out      []Action
 }
 
@@ -131,7 +139,7 @@
 
 // Full says that no more should be read until the decision has come.
 func (s *Stream) Full() bool {
-	return s.phase == asking && (s.bytes >= maxPending || len(s.pending) >= maxPendingMsgs)
+	return (s.phase == asking || s.phase == judging) && (s.bytes >= maxPending || len(s.pending) >= maxPendingMsgs)
 }
 
 // Over says that nothing more will come of the stream.
@@ -161,7 +169,7 @@
 // lose notes that nothing more comes.
 func (s *Stream) lose() {
 	switch s.phase {
-	case asking:
+	case asking, judging:
 		s.do(Lost{})
 	case decided:
 		// The proxy had its decision, so the request may be at the server. The side channel says nothing of
@@ -199,6 +207,15 @@
 		s.duplexIn = c.GetRequestBodyMode() == modev3.ProcessingMode_FULL_DUPLEX_STREAMED || c.GetRequestBodyMode() == modev3.ProcessingMode_GRPC
 		s.duplexUp = c.GetResponseBodyMode() == modev3.ProcessingMode_FULL_DUPLEX_STREAMED || c.GetResponseBodyMode() == modev3.ProcessingMode_GRPC
 	}
+	if s.phase == judging {
+		// In order: behind the answer's headers.
+		s.pending = append(s.pending, m)
+		s.bytes += len(m.GetRequestBody().GetBody()) + len(m.GetResponseBody().GetBody())
+		if s.Full() {
+			s.violate(fmt.Errorf("%w: too much behind headers that were not answered", ErrOrder))
+		}
+		return s.take()
+	}
 	if s.phase == asking {
 		// In order: behind the decision. Requests' bodies and trailers may come before it.
 		switch m.GetRequest().(type) {
@@ -309,7 +326,7 @@
 	if s.phase != asking {
 		return nil, false
 	}
-	s.phase, s.unsafe, s.ran = decided, d.Unsafe, d.Ran
+	s.phase, s.unsafe, s.ran, s.retry = decided, d.Unsafe, d.Ran, d.RetryHeader
 	m := d.Message
 	if m == nil || s.duplexIn || s.duplexUp {
 		d.Slim = d.Slim && !s.duplexIn && !s.duplexUp
@@ -463,20 +480,71 @@
 	if status < 100 || status > 999 {
 		status = 0
 	}
-	common := &extproc.CommonResponse{}
+	judged := false
 	if s.phase == decided {
 		o := Outcome{Ending: endingOf(status, header, m), Status: status, Served: served(header, m), Answered: true}
+		if o.Ending != hollyspur.Success && s.retry != "" && !s.observed {
+			o.Judging, judged = true, true
+			s.phase, s.status = judging, status
+		}
+		s.ran = s.ran || !Unrun(o.Ending)
 		s.book(o)
-		ran := s.ran || !Unrun(o.Ending)
-		if s.unsafe && ran && (status == 503 || status == 429) {
-			common.HeaderMutation = &extproc.HeaderMutation{SetHeaders: []*corev3.HeaderValueOption{set(":status", "502")}, RemoveHeaders: []string{"retry-after"}}
+	}
+	if !judged {
+		s.answer(status, Judgement{})
+	}
+}
+
+// Judgement is what follows a failed try.
+type Judgement struct {
+	Again      bool          // the proxy may try once more
+	Refused    bool          // else: trying again is harmless, later
+	RetryAfter time.Duration // with Refused; 0: none
+}
+
+// Judge gives the engine's word on the failed try that an Outcome told of with Judging. It is ignored if the
+// stream has moved on; used says whether it was told.
+func (s *Stream) Judge(j Judgement) (actions []Action, used bool) {
+	if s.phase != judging {
+		return nil, false
+	}
+	s.answer(s.status, j)
+	s.flush()
+	return s.take(), true
+}
+
+// answer lets the response's headers go on, changed where they would say more than is true.
+func (s *Stream) answer(status int, j Judgement) {
+	asked := s.phase == judging
+	m := &extproc.HeaderMutation{}
+	if asked || s.phase == decided {
+		harmful := s.unsafe && s.ran
+		switch {
+		case j.Again:
+			m.SetHeaders = append(m.SetHeaders, set(s.retry, "1"))
+		case asked && j.Refused && !harmful:
+			m.SetHeaders = append(m.SetHeaders, set(":status", "503"))
+			if j.RetryAfter > 0 {
+				m.SetHeaders = append(m.SetHeaders, set("retry-after", strconv.FormatFloat(j.RetryAfter.Seconds(), 'f', -1, 64)))
+			}
+		case harmful && (status == 503 || status == 429):
+			m.SetHeaders = append(m.SetHeaders, set(":status", "502"))
+			m.RemoveHeaders = append(m.RemoveHeaders, "retry-after")
+		}
+		if s.retry != "" && !j.Again {
+			m.RemoveHeaders = append(m.RemoveHeaders, s.retry) // a server has no say in it
 		}
 	}
 	s.phase = answered
-	if !s.observed {
-		s.do(Reply{&extproc.ProcessingResponse{Response: &extproc.ProcessingResponse_ResponseHeaders{
-			ResponseHeaders: &extproc.HeadersResponse{Response: common}}}})
+	if s.observed {
+		return
 	}
+	common := &extproc.CommonResponse{}
+	if len(m.SetHeaders)+len(m.RemoveHeaders) > 0 {
+		common.HeaderMutation = m
+	}
+	s.do(Reply{&extproc.ProcessingResponse{Response: &extproc.ProcessingResponse_ResponseHeaders{
+		ResponseHeaders: &extproc.HeadersResponse{Response: common}}}})
 }
 
 // Unrun says that an ending proves that the attempt never ran.
@@ -485,8 +553,17 @@
 }
 
 // endingOf reads the truth about whether the request can have run. Only a server's own word
-// (X-Unprocessed) and the proxy's word that no connection came up prove that it has not.
+// (X-Unprocessed) and the proxy's word that no connection came up prove that it has not; and of several tries
+// which the proxy made by itself they prove it for the last alone.
 func endingOf(status int, header map[string][]string, m *extproc.ProcessingRequest) hollyspur.Ending {
+	e := endingOfLast(status, header, m)
+	if n := header["x-envoy-attempt-count"]; Unrun(e) && len(n) > 0 && n[0] != "1" {
+		return hollyspur.Broken
+	}
+	return e
+}
+
+func endingOfLast(status int, header map[string][]string, m *extproc.ProcessingRequest) hollyspur.Ending {
 	details := ""
 	for _, attributes := range m.GetAttributes() {
 		if v := attributes.GetFields()["response.code_details"].GetStringValue(); v != "" {
@@ -499,6 +576,8 @@
 		return hollyspur.Broken
 	case (status == 503 || status == 504) && unprocessed:
 		return hollyspur.Overloaded
+	case strings.Contains(details, "{overflow}"):
+		return hollyspur.Void // the proxy's own circuit breaker: nothing was sent, and no server is to blame
 	case strings.Contains(details, "connection_failure") || strings.Contains(details, "connection_timeout") || details == "no_healthy_upstream":
 		return hollyspur.Unreachable
 	case strings.Contains(details, "response_timeout") || strings.Contains(details, "per_try_timeout"):
@@ -513,7 +592,7 @@
 
 // served is the endpoint that the proxy says it used.
 func served(header map[string][]string, m *extproc.ProcessingRequest) string {
-	if v := header[ServedHeader]; len(v) == 1 {
+	if v := header[ServedHeader]; len(v) == 1 && v[0] != "-" { // as Envoy words what is not there
 		return v[0]
 	}
 	return m.GetMetadataContext().GetFilterMetadata()[MetadataNamespace].GetFields()[ServedHeader].GetStringValue()
--- a/internal/extproc/stream/stream_test.go
+++ b/internal/extproc/stream/stream_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -145,6 +146,8 @@
 		{details("503", "upstream_reset_before_response_started{remote_connection_failure}"), hollyspur.Unreachable},
 		{details("503", "upstream_reset_before_response_started{connection_timeout}"), hollyspur.Unreachable},
 		{details("503", "upstream_reset_before_response_started{connection_termination}"), hollyspur.Broken},
+		{details("503", "upstream_reset_before_response_started{overflow}"), hollyspur.Void},
+		{details("503", "no_healthy_upstream"), hollyspur.Unreachable}, {details("504", "upstream_per_try_timeout"), hollyspur.TimedOut},
 		{details("504", "response_timeout"), hollyspur.TimedOut}, {details("200", "via_upstream"), hollyspur.Success},
 	} {
 		s := New()
@@ -179,6 +182,80 @@
 	}
 }
 
+// With a retry header, the answer to a failed try waits for the word on whether there is another, and says just
+// that; a server's own word on it counts for nothing.
+func TestJudge(t *testing.T) {
+	const retry = "x-again"
+	for name, c := range map[string]struct {
+		d       Decision
+		m       *extproc.ProcessingRequest
+		j       Judgement
+		judged  bool
+		set     string // header: value, the first that is set
+		removes bool   // the retry header
+	}{
+		"served":           {Decision{}, response("200", retry, "1"), Judgement{Again: true}, false, "", true},
+		"again":            {Decision{Unsafe: true}, response("503", "x-unprocessed", "1"), Judgement{Again: true}, true, retry + ": 1", false},
+		"refused":          {Decision{Unsafe: true}, response("503", "x-unprocessed", "1"), Judgement{Refused: true, RetryAfter: time.Second}, true, ":status: 503", true},
+		"refused after it": {Decision{Unsafe: true}, response("503", retry, "1"), Judgement{Refused: true}, true, ":status: 502", true},
+		"failed, safe":     {Decision{}, response("500"), Judgement{}, true, "", true},
+		"failed, unsafe":   {Decision{Unsafe: true}, response("500"), Judgement{}, true, "", true},
+		"ran before":       {Decision{Unsafe: true, Ran: true}, response("503", "x-unprocessed", "1"), Judgement{}, true, ":status: 502", true},
+	} {
+		s := New()
+		s.Receive(request(true))
+		c.d.RetryHeader = retry
+		s.Decide(c.d)
+		l := s.Receive(c.m)
+		if o := l[0].(Outcome); o.Judging != c.judged || (len(l) == 1) != c.judged {
+			t.Errorf("%s: %s, judging %v", name, words(l), o.Judging)
+			continue
+		}
+		if c.judged {
+			expect(t, name+": what follows waits", s.Receive(responseBody("x", true)), "")
+			l, _ = s.Judge(c.j)
+			expect(t, name, l, "ResponseHeaders ResponseBody")
+		} else {
+			l = l[1:]
+		}
+		m := l[0].(Reply).Message.GetResponseHeaders().GetResponse().GetHeaderMutation()
+		got := ""
+		if h := m.GetSetHeaders(); len(h) > 0 {
+			got = h[0].Header.Key + ": " + string(h[0].Header.RawValue)
+		}
+		if removes := slices.Contains(m.GetRemoveHeaders(), retry); got != c.set || removes != c.removes {
+			t.Errorf("%s: sets %q and not %q, takes the header off: %v", name, got, c.set, removes)
+		}
+		if _, used := s.Judge(c.j); used {
+			t.Errorf("%s: judged twice", name)
+		}
+	}
+	s := New()
+	s.Receive(request(true))
+	s.Decide(Decision{RetryHeader: retry})
+	s.Receive(response("500"))
+	expect(t, "the end before the word", s.End(), "lost hangup")
+	if _, used := s.Judge(Judgement{Again: true}); used {
+		t.Error("judged after the end")
+	}
+}
+
+// Of several tries that the proxy made by itself, the last one's never having run says nothing of the others.
+func TestTriesOfTheProxy(t *testing.T) {
+	for n, want := range map[string]hollyspur.Ending{"": hollyspur.Overloaded, "1": hollyspur.Overloaded, "2": hollyspur.Broken, "x": hollyspur.Broken} {
+		s := New()
+		s.Receive(request(true))
+		decide(t, s)
+		h := []string{"x-unprocessed", "1"}
+		if n != "" {
+			h = append(h, "x-envoy-attempt-count", n)
+		}
+		if o := s.Receive(response("503", h...))[0].(Outcome); o.Ending != want {
+			t.Errorf("%q tries: ending %d, not %d", n, o.Ending, want)
+		}
+	}
+}
+
 // A stream that is lost: before the decision nothing is owed, after it the request may run.
 func TestLost(t *testing.T) {
 	s := New()
@@ -371,7 +448,7 @@
 		actions := map[string]func(*rapid.T){
 			"decide": func(t *rapid.T) {
 				before := waiting
-				l, ok := s.Decide(Decision{Endpoint: "x:1", Slim: rapid.Bool().Draw(t, "slim")})
+				l, ok := s.Decide(Decision{Endpoint: "x:1", Slim: rapid.Bool().Draw(t, "slim"), RetryHeader: rapid.SampledFrom([]string{"", "x-again"}).Draw(t, "retry")})
 				if ok && (used || asked != 1 || lost > 0) {
 					t.Fatal("a decision that nobody asked for is used")
 				}
@@ -381,6 +458,13 @@
 				}
 				waiting = 0
 			},
+			"judge": func(t *rapid.T) {
+				was := s.phase == judging
+				l, ok := s.Judge(Judgement{Again: rapid.Bool().Draw(t, "again")})
+				if replies := play(l); ok != was || ok && (len(replies) == 0 || replies[0] != "ResponseHeaders") {
+					t.Fatalf("judged %v, used %v: %v", was, ok, replies)
+				}
+			},
 			"answer": func(t *rapid.T) { play(s.Answer(Final{Status: 503})) },
 			"end":    func(t *rapid.T) { play(s.End()) },
 			"empty":  func(t *rapid.T) { play(s.Receive(&extproc.ProcessingRequest{})) },
--- a/internal/front/extproc/front.go
+++ b/internal/front/extproc/front.go
@@ -34,6 +34,7 @@
 	"hollyspur"
 	"hollyspur/internal/engine"
 	"hollyspur/internal/extproc/stream"
+	"hollyspur/internal/message"
 	"hollyspur/internal/pool"
 )
 
@@ -50,11 +51,14 @@
 	// Retries says that proxies ask again, on a stream of its own, for each further try, and that response
 	// headers are shown for every try. Else what they show goes to the client.
 	Retries bool
-	Streams uint32  // that one connection may have open: 10,000
-	Rate    float64 // questions a second of one proxy; 0: no limit
-	ID      string  // header that names a request: x-request-id
-	Clear   bool    // have the proxy choose its route anew (clear_route_cache)
-	Slim    bool    // have it send no bodies and trailers, if it allows (mode_override)
+	// RetryHeader is set in the answer to a failed try if the module allows another, with Retries. "": proxies
+	// try again as they like, and are told when they ask.
+	RetryHeader string
+	Streams     uint32  // that one connection may have open: 10,000
+	Rate        float64 // questions a second of one proxy; 0: no limit
+	ID          string  // header that names a request: x-request-id
+	Clear       bool    // have the proxy choose its route anew (clear_route_cache)
+	Slim        bool    // have it send no bodies and trailers, if it allows (mode_override)
 	// TimeLeft has each decision tell the server, in x-time-left, how long its answer is waited for.
 	TimeLeft bool
 	Known    int // requests that are over and remembered: 100,000
@@ -347,7 +351,8 @@
 	return t, nil
 }
 
-// timeLeft reads how long the client waits: the proxy's own header, gRPC's, ours, or the class's time.
+// timeLeft reads how long the client waits: the proxy's own header, ours (of an outer listener, whose own one
+// does not survive an inner one), gRPC's, or the class's time.
 // What comes from outside never makes it longer than the class's.
 func timeLeft(q *stream.Question, most time.Duration) (time.Duration, bool) {
 	if v := q.Get("x-envoy-expected-rq-timeout-ms"); v != "" {
@@ -357,6 +362,9 @@
 		}
 		return min(most, time.Duration(ms)*time.Millisecond), true
 	}
+	if d, ok := message.ParseTimeLeft(q.Get("x-time-left")); ok {
+		return min(most, d), true
+	}
 	if v := q.Get("grpc-timeout"); v != "" {
 		d, ok := grpcTimeout(v)
 		return min(most, d), ok
@@ -414,6 +422,9 @@
 			k.take(o)
 			class, _ := k.pool.Class(k.Class)
 			d := stream.Decision{Endpoint: o.a.Endpoint.Addr, Clear: f.cfg.Clear, Slim: f.cfg.Slim, Unsafe: mustNotRunAgain(class), Ran: k.mayHaveRun()}
+			if f.cfg.Retries {
+				d.RetryHeader = f.cfg.RetryHeader
+			}
 			for _, ep := range o.a.Spares {
 				if ep.Usable() {
 					d.Fallbacks = append(d.Fallbacks, ep.Addr)
@@ -473,6 +484,9 @@
 	if f.cfg.Retries && !good {
 		// The proxy may come again. The module says now whether it may, and where.
 		k.end(nil, o.Ending)
+		if o.Judging {
+			t.judge()
+		}
 		return
 	}
 	verdict := engine.Failed
@@ -483,6 +497,37 @@
 	t.over(engine.Answer{Verdict: verdict})
 }
 
+// judge tells the proxy whether there is another try of the request: there is once the module has a server for
+// it, which waits for the stream that asks for it.
+func (t *talk) judge() {
+	k, f := t.ticket, t.f
+	timer := time.NewTimer(f.cfg.Within)
+	defer timer.Stop()
+	a := engine.Answer{Verdict: engine.Failed}
+	select {
+	case o := <-k.offers:
+		if k.offer(o) {
+			l, _ := t.s.Judge(stream.Judgement{Again: true})
+			t.carryOut(l)
+			return
+		}
+		k.pool.Engine().Gone(&k.Call)
+	case a = <-k.answers:
+	case <-timer.C:
+		// Held for a server that none has. The client hears that now.
+		k.pool.Engine().Gone(&k.Call)
+		a = engine.Answer{Verdict: engine.Refused, RetryAfter: time.Second}
+	case <-t.st.Context().Done():
+		return // lost deals with what it leaves
+	}
+	if class, _ := k.pool.Class(k.Class); k.mayHaveRun() && mustNotRunAgain(class) {
+		a.Verdict = engine.Failed
+	}
+	t.over(a)
+	l, _ := t.s.Judge(stream.Judgement{Refused: a.Verdict == engine.Refused, RetryAfter: a.RetryAfter})
+	t.carryOut(l)
+}
+
 // stray says, now and then, that a proxy does not do as it is told.
 func (f *Front) stray(told, served string) {
 	n := f.astray.Add(1)
--- a/internal/front/extproc/front_test.go
+++ b/internal/front/extproc/front_test.go
@@ -301,6 +301,68 @@
 	s.answer("200")
 }
 
+// word tells of response headers and says what became of them: the header that is set, or taken off.
+func (s *side) word(retry, status string, more ...string) string {
+	s.t.Helper()
+	s.st.Send(&extproc.ProcessingRequest{Request: &extproc.ProcessingRequest_ResponseHeaders{ResponseHeaders: &extproc.HttpHeaders{
+		Headers: fields(append([]string{":status", status}, more...)...)}}})
+	m, err := s.st.Recv()
+	if err != nil {
+		s.t.Fatalf("response headers get no word: %v", err)
+	}
+	s.st.CloseSend()
+	s.st.Recv()
+	for _, f := range m.GetResponseHeaders().GetResponse().GetHeaderMutation().GetSetHeaders() {
+		switch f.Header.Key {
+		case retry:
+			return "again"
+		case ":status":
+			status = string(f.Header.RawValue)
+		}
+	}
+	return status
+}
+
+// The answer to a failed try says whether there is another, and there is just where it said so.
+func TestRetryHeader(t *testing.T) {
+	const retry = "x-again"
+	for _, c := range []struct {
+		class, status, unprocessed string
+		want                       string
+	}{
+		{"order", "503", "1", "again"}, {"order", "503", "0", "502"}, {"order", "500", "0", "500"}, {"read", "500", "0", "again"},
+		{"cell", "500", "0", "again"}, {"all", "503", "0", "again"}, {"read", "404", "0", "404"}, {"order", "200", "0", "200"},
+	} {
+		w := newWorld(t, Config{Retries: true, RetryHeader: retry, Linger: limit}, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4")
+		s := w.stream()
+		first := s.ask(c.class, "id", 1)
+		got := s.word(retry, c.status, "x-unprocessed", c.unprocessed, retry, "1")
+		if got != c.want {
+			t.Errorf("%+v: the word is %s", c, got)
+		}
+		if got != "again" {
+			testkit.Eventually(t, "a slot is kept though there is no other try", func() bool { return w.pool.Engine().Open() == 0 })
+			continue
+		}
+		s = w.stream()
+		if second := s.ask(c.class, "id", 2); second == first || !strings.HasPrefix(second, "127") {
+			t.Errorf("%+v: at %s, then %s", c, first, second)
+		}
+		s.word(retry, "200")
+	}
+	// The limit of attempts holds.
+	w := newWorld(t, Config{Retries: true, RetryHeader: retry, Linger: limit}, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5")
+	tries := 0
+	for got := "again"; got == "again"; tries++ {
+		s := w.stream()
+		s.ask("read", "id", tries+1)
+		got = s.word(retry, "503", "x-unprocessed", "1")
+	}
+	if tries != 3 {
+		t.Errorf("%d tries, 3 are allowed", tries)
+	}
+}
+
 // Two streams claim the same id at once: the second is turned away, unless it is the proxy's next try.
 func TestSameID(t *testing.T) {
 	w := newWorld(t, Config{}, "127.0.0.1:1", "127.0.0.1:2")
--- a/internal/front/extproc/ticket.go
+++ b/internal/front/extproc/ticket.go
@@ -62,6 +62,21 @@
 	})
 }
 
+// offer puts back an attempt that was looked at; false if it could not wait on, and has ended.
+func (t *ticket) offer(o offer) bool {
+	if o.ctx.Err() != nil {
+		o.a.End(hollyspur.Void, nil)
+		return false
+	}
+	select {
+	case t.offers <- o:
+		return true
+	default: // there is a later one
+		o.a.End(hollyspur.Void, nil)
+		return true
+	}
+}
+
 // void ends an attempt that waits for a stream and will get none: it was never sent.
 func (t *ticket) void() {
 	select {
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -199,7 +199,7 @@
 	if class.Effect == hollyspur.Safe {
 		method = http.MethodGet
 	}
-	claim, claimed := parseTimeLeft(h.Get("X-Time-Left"))
+	claim, claimed := message.ParseTimeLeft(h.Get("X-Time-Left"))
 	left := min(claim, class.Deadline)
 	switch ids, keys := h["X-Correlation-Id"], h["Idempotency-Key"]; {
 	case hr.TransferEncoding != nil:
--- a/internal/front/http1/fuzz_test.go
+++ b/internal/message/fuzz_test.go
@@ -1,4 +1,4 @@
-package http1
+package message
 
 import "testing"
 
@@ -8,7 +8,7 @@
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, s string) {
-		if d, ok := parseTimeLeft(s); ok != (d > 0) {
+		if d, ok := ParseTimeLeft(s); ok != (d > 0) {
 			t.Fatalf("%q: %v, %v", s, d, ok)
 		}
 	})
--- a/internal/front/http1/timeleft.go
+++ b/internal/message/timeleft.go
@@ -1,4 +1,4 @@
-package http1
+package message
 
 import (
 	"math"
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// parseTimeLeft reads a number and a unit: m for milliseconds, u for microseconds.
-func parseTimeLeft(s string) (d time.Duration, ok bool) {
+// ParseTimeLeft reads X-Time-Left: a number and a unit: m for milliseconds, u for microseconds.
+func ParseTimeLeft(s string) (d time.Duration, ok bool) {
 	unit := time.Millisecond
 	number, ok := strings.CutSuffix(s, "m")
 	if !ok {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -134,7 +134,8 @@
 	p.ExtProc = &ExtProc{Listen: x.text("listen", ""), Within: x.time("decide_within", 150e6), Linger: x.time("linger", 500e6),
 		Retries: x.yes("retries", false), Streams: x.count("streams", 10_000), Rate: x.number("rate", 0),
 		ID: strings.ToLower(x.text("id_header", "x-request-id")), Clear: x.yes("clear_route_cache", false),
-		Slim: x.yes("headers_only", true), TimeLeft: x.yes("time_left", false), Known: x.count("remember", 100_000)}
+		Slim: x.yes("headers_only", true), TimeLeft: x.yes("time_left", false), Known: x.count("remember", 100_000),
+		RetryHeader: strings.ToLower(x.text("retry_header", defaultRetryHeader))}
 	if err := address(p.ExtProc.Listen, true); err != nil {
 		x.fault("listen", "%v", err)
 	}
@@ -150,6 +151,11 @@
 	if n := p.ExtProc.Known; n < 1 || n > 1<<24 {
 		x.fault("remember", "%d is not between 1 and %d", n, 1<<24)
 	}
+	if h := p.ExtProc.RetryHeader; h != "" && !isToken(h) {
+		x.fault("retry_header", "%q is no name of a header", h)
+	} else if x.has("retry_header") && !p.ExtProc.Retries {
+		x.fault("retry_header", "is of no effect without retries = true")
+	}
 	if !isToken(p.ExtProc.ID) {
 		x.fault("id_header", "%q is no name of a header", p.ExtProc.ID)
 	}
@@ -224,8 +230,9 @@
 	}
 	p.Settings = hollyspur.Settings{Balancers: nodes, Index: index, Tier: int(t.count("tier", 0)),
 		WholeWeight: weights.number("whole", defaultWhole), ClassWeight: weights.number("worst_class", defaultWorstClass),
-		TenantWeight: weights.number("tenants", 0),
-		MaxAttempts:  int(t.count("attempts", defaultAttempts)), SecondCopies: t.yes("second_copies", false), Spares: int(t.count("fallbacks", 0)), StartCalls: int(t.count("start_calls", 0)),
+		TenantWeight: weights.number("tenants", 0), OverShare: weights.number("over_quota", defaultOverQuota),
+		WorstTenantWeight: weights.number("worst_tenant", defaultWorstTenant),
+		MaxAttempts:       int(t.count("attempts", defaultAttempts)), SecondCopies: t.yes("second_copies", false), Spares: int(t.count("fallbacks", 0)), StartCalls: int(t.count("start_calls", 0)),
 		MayCancel: t.yes("cancel", true), Sizes: choice(t, "sizes", hollyspur.SizesUnknown, sizes),
 		Tick: 1e6, MaxRetryAfter: t.time("retry_after", defaultRetryAfter),
 		ColdFrom: cold.number("from", defaultColdFrom), WarmAfter: cold.time("warm_after", defaultWarmAfter),
@@ -242,10 +249,11 @@
 	if p.Settings.ColdFrom > 1 {
 		cold.fault("from", "%v is over 1: it is a share of the full capacity", p.Settings.ColdFrom)
 	}
+	f.classes(t, &p)
+	f.tenants(t, weights, &p)
 	conns.end()
 	cold.end()
 	weights.end()
-	f.classes(t, &p)
 	f.list(t, &p)
 	return p
 }
@@ -307,6 +315,46 @@
 	}
 }
 
+// maxQuotas bounds the tenants with a quota: the module goes over all of them for each request that it
+// must weigh.
+const maxQuotas = 64
+
+// tenants reads who has a quota. Without any, what is told of quotas would be without effect.
+func (f *file) tenants(t, weights *table, p *Pool) {
+	if w := p.Settings.OverShare; w > 1 {
+		weights.fault("over_quota", "%v is over 1: it is a share of the worth", w)
+	}
+	tables := t.many("tenants")
+	if len(tables) == 0 {
+		for _, key := range []string{"over_quota", "worst_tenant"} {
+			if weights.has(key) {
+				weights.fault(key, "is of no effect without [[pools.tenants]] that have quotas")
+			}
+		}
+	}
+	if len(tables) > maxQuotas {
+		t.fault("tenants", "%d tenants, %d at most", len(tables), maxQuotas)
+	}
+	names := map[string]bool{}
+	for _, tt := range tables {
+		x := hollyspur.Tenant{Name: tt.text("name", ""), Quota: tt.number("quota", 0)}
+		switch {
+		case x.Name == "":
+			tt.fault("name", "missing: as the callers' X-Account has it")
+		case len(x.Name) > engine.MaxTenant:
+			tt.fault("name", "is longer than the %d bytes that are told apart", engine.MaxTenant)
+		case names[x.Name]:
+			tt.fault("name", "two tenants of this pool have the name %q", x.Name)
+		}
+		names[x.Name] = true
+		if !tt.has("quota") {
+			tt.fault("quota", "missing: requests a second, over all nodes")
+		}
+		tt.end()
+		p.Settings.Tenants = append(p.Settings.Tenants, x)
+	}
+}
+
 // list reads where a pool's servers are told.
 func (f *file) list(t *table, p *Pool) {
 	p.List.Registry, p.List.XDS = t.text("registry", ""), t.text("xds", "")
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -53,6 +53,8 @@
 	Slim     bool          // mode_override to headers only
 	TimeLeft bool          // tell servers, in x-time-left, how long they have
 	Known    int64         // requests that are over and remembered
+
+	RetryHeader string // set in the answer to a failed try if there may be another
 }
 
 // Totals are what the process may hold in all.
@@ -124,6 +126,9 @@
 	defaultFallFor      = 1500 * time.Millisecond
 	defaultWhole        = 0.55
 	defaultWorstClass   = 0.3
+	defaultWorstTenant  = 0.1
+	defaultOverQuota    = 0.2
+	defaultRetryHeader  = "x-cranegrade-retry"
 	defaultTimeout      = 15 * time.Second // the specification's
 	defaultGrace        = 30 * time.Second
 	defaultMaxResponse  = 16 << 20
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -25,6 +25,8 @@
 	Body   int           // bytes, of classes that are not safe
 	Path   string        // "": /CLASS/NUMBER
 	Bursts time.Duration // if set, they come all at once, every so often
+
+	Account string // the tenant they are of, as X-Account; "": not told
 }
 
 // Callers are clients of one node: they keep connections, one request at a time on each, and open more
@@ -152,18 +154,20 @@
 	if path == "" {
 		path = "/" + s.Class.Name + "/" + id
 	}
-	text := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nX-Correlation-Id: %s\r\nX-Time-Left: %dm\r\n\r\n",
-		path, s.Host, id, s.Class.Deadline.Milliseconds())
+	method, more, body := "GET", "", ""
 	if s.Class.Effect != Safe {
-		key := ""
 		if s.Class.Effect == Keyed {
 			x.Key = "k-" + id
-			key = "Idempotency-Key: " + x.Key + "\r\n"
+			more = "Idempotency-Key: " + x.Key + "\r\n"
 		}
-		text = fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Correlation-Id: %s\r\nX-Time-Left: %dm\r\n%sContent-Length: %d\r\n\r\n",
-			path, s.Host, id, s.Class.Deadline.Milliseconds(), key, s.Body)
-		text += string(make([]byte, s.Body))
+		method, body = "POST", string(make([]byte, s.Body))
+		more += fmt.Sprintf("Content-Length: %d\r\n", s.Body)
+	}
+	if s.Account != "" {
+		more += "X-Account: " + s.Account + "\r\n"
 	}
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Correlation-Id: %s\r\nX-Time-Left: %dm\r\n%s\r\n%s",
+		method, path, s.Host, id, s.Class.Deadline.Milliseconds(), more, body)
 	c.ask(x, text, s.Class.Deadline)
 	c.rec.exchange(x)
 	return *x
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -1,38 +1,44 @@
-// Package proxy is a stand-in for a proxy that asks an external processor, once for each request, where
-// it should go (envoy.service.ext_proc.v3, and the endpoint picker's conventions). It carries requests
-// to stand-in servers over HTTP/1.1, records what its clients saw, and can be told to misbehave.
+// Package proxy is a stand-in for a proxy that asks an external processor where requests should go
+// (envoy.service.ext_proc.v3, and the endpoint picker's conventions). It is made of layers in the order of the
+// real one: a connection manager cleans headers, chooses a route and runs its filters; the router adds and takes
+// off headers, chooses a host of its cluster and tries again as its policy says; only then the cluster's own
+// filters run (layers.go). It takes the same YAML, of which it models a part and refuses the rest (compile.go).
+//
+// Requests are carried to stand-in servers over HTTP/1.1; it records what its clients saw, and can be told to
+// misbehave.
 package proxy
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	extproc "github.com/envoyproxy/go-control-plane/envoy/service/ext_proc/v3"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/types/known/structpb"
 
+	"hollyspur/internal/envoyconf"
 	"hollyspur/internal/standin"
 )
 
 // Config is what a proxy is made of.
 type Config struct {
-	Processor string        // host:port
-	Timeout   time.Duration // message_timeout; 0: 200 ms
-	Retries   int           // further tries, each asked for anew, after failed connects and refusals unseen
-	Greedy    bool          // it also tries again after anything else that failed, as a careless one does
-	Deaf      bool          // it sends requests elsewhere than it is told
+	Processor string          // host:port
+	Timeout   time.Duration   // message_timeout; 0: 200 ms
+	Mode      envoyconf.Mode  // "": header, or with Retries every-try
+	YAML      string          // its configuration; "": envoyconf.Build's for the mode
+	Endpoints []string        // that it knows, in the modes that need that
+	Classes   []standin.Class // safe ones may be tried again in mode fallbacks
+	Retries   int             // further tries, in the modes that have any
+	Greedy    bool            // it also tries again by itself whatever failed, as a careless one does
+	PerTry    time.Duration   // per_try_timeout in mode every-try
+	Deaf      bool            // it sends requests elsewhere than it is told
 	Elsewhere func(told string) string
 	Drop      func() bool // asked for each request: drop the side channel while the request is at its server
 }
@@ -46,11 +52,19 @@
 	next atomic.Uint64
 	name string
 
+	entry     *manager
+	inner     map[string]*manager
+	clusters  map[string]*cluster
+	askers    []*asker
+	processor string
+
 	lose atomic.Int64
 
 	Decisions  atomic.Int64 // that named a server
 	Immediate  atomic.Int64 // that answered at once
 	Unanswered atomic.Int64 // questions that got no word in time
+	Sent       atomic.Int64 // tries that went to a server
+	Heeded     atomic.Int64 // and to one that the processor had named for it
 	Waits      struct {
 		sync.Mutex
 		L []time.Duration // for each word
@@ -62,12 +76,55 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = 200 * time.Millisecond
 	}
-	conn, err := grpc.NewClient("passthrough:///"+cfg.Processor, grpc.WithTransportCredentials(insecure.NewCredentials()),
+	if cfg.YAML == "" {
+		text, err := cfg.yaml()
+		if err != nil {
+			return nil, fmt.Errorf("proxy %s: %w", name, err)
+		}
+		cfg.YAML = text
+	}
+	p := &Proxy{cfg: cfg, rec: rec, name: name}
+	if err := p.compile([]byte(cfg.YAML)); err != nil {
+		return nil, fmt.Errorf("proxy %s: %w", name, err)
+	}
+	conn, err := grpc.NewClient("passthrough:///"+p.processor, grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second}))
 	if err != nil {
 		return nil, fmt.Errorf("proxy %s: %w", name, err)
 	}
-	return &Proxy{cfg: cfg, rec: rec, conn: conn, svc: extproc.NewExternalProcessorClient(conn), name: name}, nil
+	p.conn, p.svc = conn, extproc.NewExternalProcessorClient(conn)
+	return p, nil
+}
+
+// RetryHeader is the header by which the processor allows another try, by default.
+const RetryHeader = "x-cranegrade-retry"
+
+// yaml is what an operator would have of cranegrade proxy-config.
+func (c Config) yaml() (string, error) {
+	p := envoyconf.Proxy{Mode: c.Mode, Processor: c.Processor, Retries: c.Retries, Endpoints: c.Endpoints, PerTry: c.PerTry}
+	if p.Mode == "" {
+		if p.Mode = envoyconf.ByHeader; c.Retries > 0 {
+			p.Mode = envoyconf.EveryTry
+		}
+	}
+	if p.Mode == envoyconf.Fallbacks {
+		p.Spares = c.Retries
+	}
+	p.Facts = envoyconf.Facts{DecideWithin: c.Timeout - 50*time.Millisecond, Retries: p.Mode == envoyconf.EveryTry, RetryHeader: RetryHeader, Spares: p.Spares}
+	longest := 5 * time.Second
+	for _, k := range c.Classes {
+		p.Classes = append(p.Classes, envoyconf.Class{Name: k.Name, Deadline: k.Deadline, Safe: k.Effect == standin.Safe})
+		longest = max(longest, k.Deadline)
+	}
+	if len(p.Classes) == 0 {
+		p.Classes = []envoyconf.Class{{Name: "any", Deadline: longest}}
+	}
+	text, err := envoyconf.Build(p)
+	out := string(text)
+	if c.Greedy {
+		out = strings.Replace(out, "retry_on: retriable-headers", `retry_on: "retriable-headers,5xx,reset,connect-failure"`, 1)
+	}
+	return out, err
 }
 
 // Lose has the next n answers lost on their way to the proxy's clients.
@@ -86,28 +143,37 @@
 
 // DoID is Do of a request with this id.
 func (p *Proxy) DoID(ctx context.Context, s standin.Stream, id string) standin.Exchange {
+	return p.DoWith(ctx, s, id, nil)
+}
+
+// DoWith is DoID of a client that sends further headers.
+func (p *Proxy) DoWith(ctx context.Context, s standin.Stream, id string, more map[string]string) standin.Exchange {
 	name := s.Name
 	if name == "" {
 		name = s.Class.Name
 	}
 	x := standin.Exchange{ID: id, Class: s.Class.Name, Stream: name, Sent: p.rec.Now(), Connected: true}
 	x.Deadline = x.Sent + s.Class.Deadline
+	r := &request{x: &x, meta: map[string]*structpb.Struct{}, sides: map[*asker]*side{}, head: header{":method": {method(s.Class)}, ":scheme": {"http"},
+		":authority": {s.Host}, ":path": {"/" + s.Class.Name + "/" + id}, "x-correlation-id": {id}}}
+	if s.Account != "" {
+		r.head.set("x-account", s.Account)
+	}
 	if s.Class.Effect == standin.Keyed {
 		x.Key = "k-" + id
+		r.head.set("idempotency-key", x.Key)
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.Class.Deadline)
-	defer cancel()
-	for try := 1; ; try++ {
-		a := p.try(ctx, s, x, try)
-		x.Status, x.RetryAfter, x.Foreign = a.status, a.retryAfter, a.foreign
-		again := !a.immediate && try <= p.cfg.Retries && (a.unsent || p.cfg.Greedy && a.status != 200)
-		if !again || ctx.Err() != nil {
-			break
-		}
+	if s.Class.Effect != standin.Safe {
+		r.body = strings.Repeat("x", s.Body)
 	}
-	if x.Status == 0 {
-		x.Status = http.StatusGatewayTimeout // a proxy answers its client in any case
+	for k, v := range more {
+		r.head.set(strings.ToLower(k), v)
 	}
+	ctx, cancel := context.WithTimeout(ctx, s.Class.Deadline)
+	defer cancel()
+	resp := p.entry.serve(ctx, r)
+	x.Status, x.RetryAfter = resp.status(), len(resp.head["retry-after"]) > 0
+	x.Foreign = x.Status == 200 && resp.body != standin.Body(id)
 	x.Answered = p.rec.Now()
 	if p.lose.Add(-1) >= 0 {
 		x.Status, x.Err = 0, errors.New("lost on its way")
@@ -116,15 +182,6 @@
 	return x
 }
 
-// answer is what became of one try.
-type answer struct {
-	status     int
-	retryAfter bool
-	foreign    bool
-	immediate  bool // by the processor
-	unsent     bool // no server can have run it
-}
-
 // method of a class.
 func method(c standin.Class) string {
 	if c.Effect == standin.Safe {
@@ -133,91 +190,10 @@
 	return "POST"
 }
 
-func headers(pairs ...string) *corev3.HeaderMap {
-	m := &corev3.HeaderMap{}
-	for i := 0; i < len(pairs); i += 2 {
-		m.Headers = append(m.Headers, &corev3.HeaderValue{Key: pairs[i], RawValue: []byte(pairs[i+1])})
-	}
-	return m
-}
-
-// try asks, carries and reports one try.
-func (p *Proxy) try(ctx context.Context, s standin.Stream, x standin.Exchange, try int) answer {
-	side, hangup := context.WithCancel(ctx)
-	defer hangup()
-	st, err := p.svc.Process(side)
-	if err != nil {
-		p.Unanswered.Add(1)
-		return answer{status: http.StatusInternalServerError, unsent: true} // fail closed
-	}
-	asked := time.Now()
-	left := time.Until(asked.Add(x.Deadline - p.rec.Now()))
-	h := headers(":method", method(s.Class), ":scheme", "http", ":authority", s.Host, ":path", "/"+s.Class.Name+"/"+x.ID,
-		"x-request-id", x.ID, "x-envoy-attempt-count", strconv.Itoa(try), "x-envoy-expected-rq-timeout-ms", strconv.FormatInt(max(1, left.Milliseconds()), 10))
-	if x.Key != "" {
-		h.Headers = append(h.Headers, headers("idempotency-key", x.Key).Headers...)
-	}
-	err = st.Send(&extproc.ProcessingRequest{Request: &extproc.ProcessingRequest_RequestHeaders{
-		RequestHeaders: &extproc.HttpHeaders{Headers: h, EndOfStream: s.Class.Effect == standin.Safe}}})
-	if err != nil && !errors.Is(err, io.EOF) {
-		p.Unanswered.Add(1)
-		return answer{status: http.StatusInternalServerError, unsent: true}
-	}
-	word, err := p.word(st)
-	p.Waits.Lock()
-	p.Waits.L = append(p.Waits.L, time.Since(asked))
-	p.Waits.Unlock()
-	if err != nil {
-		p.Unanswered.Add(1)
-		return answer{status: http.StatusInternalServerError, unsent: true}
-	}
-	if r := word.GetImmediateResponse(); r != nil {
-		p.Immediate.Add(1)
-		a := answer{status: int(r.GetStatus().GetCode()), immediate: true}
-		for _, f := range r.GetHeaders().GetSetHeaders() {
-			a.retryAfter = a.retryAfter || f.GetHeader().GetKey() == "retry-after"
-		}
-		return a
-	}
-	p.Decisions.Add(1)
-	to := ""
-	for _, f := range word.GetRequestHeaders().GetResponse().GetHeaderMutation().GetSetHeaders() {
-		if f.GetHeader().GetKey() == "x-gateway-destination-endpoint" {
-			to, _, _ = strings.Cut(string(f.GetHeader().GetRawValue()), ",")
-		}
-	}
-	told := to
-	if p.cfg.Deaf && p.cfg.Elsewhere != nil {
-		to = p.cfg.Elsewhere(told)
-	}
-	if p.cfg.Drop != nil && p.cfg.Drop() {
-		time.AfterFunc(2*time.Millisecond, hangup) // while it is on its way, or at its server
-	}
-	a, head, details := p.carry(ctx, s, x, to)
-	head = append(head, "x-gateway-destination-endpoint-served", to)
-	m := &extproc.ProcessingRequest{Request: &extproc.ProcessingRequest_ResponseHeaders{ResponseHeaders: &extproc.HttpHeaders{
-		Headers: headers(head...), EndOfStream: true}}}
-	if details != "" {
-		m.Attributes = map[string]*structpb.Struct{"envoy.filters.http.ext_proc": {Fields: map[string]*structpb.Value{
-			"response.code_details": structpb.NewStringValue(details)}}}
-	}
-	if st.Send(m) == nil {
-		if word, err := p.word(st); err == nil {
-			for _, f := range word.GetResponseHeaders().GetResponse().GetHeaderMutation().GetSetHeaders() {
-				if f.GetHeader().GetKey() == ":status" {
-					a.status, _ = strconv.Atoi(string(f.GetHeader().GetRawValue()))
-				}
-			}
-		}
-		st.CloseSend()
-	}
-	return a
-}
-
 var errTimeout = errors.New("no word within the message time-out")
 
-// word waits for the processor's next message.
-func (p *Proxy) word(st extproc.ExternalProcessor_ProcessClient) (*extproc.ProcessingResponse, error) {
+// receive waits for the processor's next message.
+func receive(st extproc.ExternalProcessor_ProcessClient, wait time.Duration) (*extproc.ProcessingResponse, error) {
 	type result struct {
 		m   *extproc.ProcessingResponse
 		err error
@@ -227,7 +203,7 @@
 		m, err := st.Recv()
 		ch <- result{m, err}
 	}()
-	t := time.NewTimer(p.cfg.Timeout)
+	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
 	case r := <-ch:
@@ -237,55 +213,6 @@
 	}
 }
 
-// carry sends a request to a server over HTTP/1.1 and reads the answer.
-func (p *Proxy) carry(ctx context.Context, s standin.Stream, x standin.Exchange, to string) (a answer, head []string, details string) {
-	local := func(status, why string) (answer, []string, string) {
-		n, _ := strconv.Atoi(status)
-		return answer{status: n, unsent: strings.Contains(why, "connection_failure")}, []string{":status", status}, why
-	}
-	// A connection of its own: a proxy that wrote to a kept one which its server has closed would have to
-	// guess whether the request ran.
-	c, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", to)
-	if err != nil {
-		return local("503", "upstream_reset_before_response_started{remote_connection_failure}")
-	}
-	defer c.Close()
-	deadline, _ := ctx.Deadline()
-	c.SetDeadline(deadline)
-	key, body := "", ""
-	if x.Key != "" {
-		key = "Idempotency-Key: " + x.Key + "\r\n"
-	}
-	if s.Class.Effect != standin.Safe {
-		body = strings.Repeat("x", s.Body)
-	}
-	_, err = fmt.Fprintf(c, "%s /%s/%s HTTP/1.1\r\nHost: %s\r\nX-Correlation-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
-		method(s.Class), s.Class.Name, x.ID, s.Host, x.ID, key, len(body), body)
-	var resp *http.Response
-	r := bufio.NewReader(c)
-	if err == nil {
-		resp, err = http.ReadResponse(r, nil)
-	}
-	var text []byte
-	if err == nil {
-		text, err = io.ReadAll(resp.Body)
-	}
-	if err != nil {
-		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() {
-			return local("504", "response_timeout")
-		}
-		return local("503", "upstream_reset_before_response_started{connection_termination}")
-	}
-	a = answer{status: resp.StatusCode, foreign: resp.StatusCode == 200 && string(text) != standin.Body(x.ID)}
-	head = []string{":status", strconv.Itoa(resp.StatusCode)}
-	if v := resp.Header.Get("X-Unprocessed"); v != "" {
-		head = append(head, "x-unprocessed", v)
-		a.unsent = v == "1" && (resp.StatusCode == 503 || resp.StatusCode == 504)
-	}
-	return a, head, ""
-}
-
 // Run sends the streams' requests through the proxies in turn and returns once all have ended.
 func Run(ctx context.Context, proxies []*Proxy, seed uint64, streams ...standin.Stream) {
 	n := atomic.Uint64{}
--- a/overload_test.go
+++ b/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -103,6 +104,9 @@
 			l[0].Boot = 4 * time.Second
 			b.Handle(9*time.Second, ServerList{Full: true, Servers: l}) // half warm: 0.6
 		}, 17, 18},
+		// It turned one away with two calls out, so the others get no more for it: three parts and two calls.
+		"one full": {func(b *Balancer) { b.servers["s02"].room, b.servers["s02"].full = 2, time.Hour }, 17, 17},
+		"one with no room": {func(b *Balancer) { b.servers["s02"].room, b.servers["s02"].full = 0, time.Hour }, 15, 15},
 		"in vain": {func(b *Balancer) { b.vain, b.window = 0.9, 2 }, 2, 2},
 	}
 	for name, c := range cases {
@@ -132,6 +136,41 @@
 	}
 }
 
+// A server whose calls don't end does not keep another one idle: what it has beyond its part fills no window.
+func TestCrowdAtOneIsNoLoadOnOthers(t *testing.T) {
+	b := newBalancer(t, func(s *Settings) { s.Balancers = 1 })
+	b.Handle(0, ServerList{Full: true, Servers: servers(1)})
+	b.window = 20
+	if got := out(b, 40); got != 20 {
+		t.Fatalf("%d calls out", got)
+	}
+	b.window = 5
+	b.Handle(time.Second, ServerList{Servers: []Server{{ID: "new", State: Ready}}})
+	out(b, 40)
+	if got := b.servers["new"].calls; got < 3 || got > 5 {
+		t.Errorf("the new server, of two with a window of 10, has %d calls beside one with 20", got)
+	}
+}
+
+// The least latency is that of the servers it was seen at: when half of them leave, it is soon that of those
+// left; while the list stays, a crowd does not change it.
+func TestLeastLatencyLeavesWithItsServers(t *testing.T) {
+	bare := func(left int) float64 {
+		b := newBalancer(t, nil)
+		b.Handle(0, ServerList{Full: true, Servers: servers(8)})
+		b.now, b.pace, b.bare, b.answers = 100*msec, math.Log(0.1), math.Log(0.1), 1000
+		b.Handle(b.now, ServerList{Full: true, Servers: servers(left)})
+		r := &request{class: b.classes["get"], attempts: []*attempt{{sent: b.now - b.classes["get"].Aim/5}}}
+		for range 200 {
+			b.steer(r, Outcome{Ending: Success})
+		}
+		return math.Exp(b.bare)
+	}
+	if same, half := bare(8), bare(4); same > 0.12 || half < 0.17 {
+		t.Errorf("least latency of 0.1, now 0.2: %.3f with the list as it was, %.3f with half of it", same, half)
+	}
+}
+
 func TestColdRoomIsSharedByCopies(t *testing.T) {
 	for copies, want := range map[int]float64{1: 3, 2: 1, 1000: 1} {
 		b := newBalancer(t, func(s *Settings) { s.Balancers = copies })
