Drill overload-tenants has room for its floods; examples are what proxy-config prints

Need: with the default descriptors the process's limit of calls refused a third of the calm tenants before any pool could weigh.

--- a/cmd/cranegrade/main_test.go
+++ b/cmd/cranegrade/main_test.go
@@ -163,3 +163,30 @@
 		}
 	}
 }
+
+// Each mode's example is what proxy-config prints for its file, and proxy-check finds it good.
+func TestProxyConfig(t *testing.T) {
+	for mode, file := range map[string]string{"header": "extproc.toml", "metadata": "extproc.toml", "fallbacks": "extproc-fallbacks.toml", "every-try": "extproc-every-try.toml"} {
+		config, example := "../../deploy/examples/"+file, "../../deploy/examples/envoy-"+mode+".yaml"
+		var out, complaint bytes.Buffer
+		if code := proxyConfig([]string{"-config", config, "-mode", mode}, &out, &complaint); code != 0 {
+			t.Errorf("%s: exit %d, %s", mode, code, &complaint)
+			continue
+		}
+		if want, err := os.ReadFile(example); err != nil || !bytes.Equal(out.Bytes(), want) {
+			t.Errorf("%s is not what proxy-config -mode %s prints, %v", example, mode, err)
+		}
+		out.Reset()
+		if code := proxyCheck([]string{example, "-config", config}, &out, &complaint); code != 0 {
+			t.Errorf("%s: exit %d, %s%s", example, code, &out, &complaint)
+		}
+	}
+	for _, args := range [][]string{{}, {"-config", "../../deploy/examples/extproc.toml"}, {"-config", "none", "-mode", "header"},
+		{"-config", "../../deploy/examples/extproc.toml", "-mode", "every-try"}, {"-config", "../../deploy/examples/routes.toml", "-mode", "header"},
+		{"-config", "../../deploy/examples/extproc.toml", "-mode", "header", "-processor", "127.0.0.1:0"}} {
+		var out, complaint bytes.Buffer
+		if code := proxyConfig(args, &out, &complaint); code == 0 || out.Len() > 0 || complaint.Len() == 0 {
+			t.Errorf("%v: exit %d, %s%s", args, code, &out, &complaint)
+		}
+	}
+}
--- a/cmd/drill/tenants.go
+++ b/cmd/drill/tenants.go
@@ -36,7 +36,8 @@
 		{"parts", "weights = { tenants = 1 }"},
 		{"nothing", ""},
 	}
-	file, routes := "listen = [\"127.0.0.1:0\"]\n", ""
+	// Room for three floods at once, or the process's limit of calls refuses before any pool can weigh.
+	file, routes := "listen = [\"127.0.0.1:0\"]\nlimits = { descriptors = 4096 }\n", ""
 	var streams []standin.Stream
 	for _, c := range cases {
 		g, err := r.group(c.name, c.name+".example.org", cfg, cfg, cfg)
@@ -90,6 +91,6 @@
 		r.figure("flood_"+c.name, flood, "and of the one that floods")
 	}
 	t.Flush()
-	r.tables = append(r.tables, b.String())
+	r.tables = append(r.tables, b.String(), streamTable(v))
 	return nil
 }
