Subset hints of the endpoint picker protocol; a question's time runs from its arrival

Need: the protocol has proxies name the endpoints that a request may go to; and in a burst questions that had waited in this process were begun when their proxies no longer listened, at the cost of those after them.

Change: Request.Among in the module, by the endpoints' addresses in the engine; an empty or unknown subset is refused at once. The arrival of a stream is noted on the connection's goroutine; what has waited for three quarters of decide_within is refused unbegun.

--- a/cmd/drill/drill_test.go
+++ b/cmd/drill/drill_test.go
@@ -43,24 +43,29 @@
 // Each drill keeps the rules, and something happens in it.
 func TestDrills(t *testing.T) {
 	for _, s := range scenarios {
-		got, code := drill(t, "-for", "2s", s.name)
-		if code != 0 {
-			t.Errorf("%s: exit %d, %v", s.name, code, got["wrong"])
-		}
-		for _, key := range []string{"requests", "served", "refused", "failed", "lost", "twice", "drain_late", "cold_over"} {
-			if _, is := got[key].(float64); !is {
-				t.Errorf("%s: no figure %s in %v", s.name, key, got)
+		t.Run(s.name, func(t *testing.T) {
+			if strings.HasPrefix(s.name, "extproc") {
+				t.Parallel() // so many, and mostly waiting
 			}
-		}
-		if key := map[string]string{"load": "requests_per_s", "xds-size": "changes"}[s.name]; key != "" {
-			if got[key].(float64) <= 0 {
-				t.Errorf("%s: %v", s.name, got)
+			got, code := drill(t, "-for", "2s", s.name)
+			if code != 0 {
+				t.Errorf("exit %d, %v", code, got["wrong"])
 			}
-			continue
-		}
-		if got["served"].(float64) < 50 {
-			t.Errorf("%s: %v served", s.name, got["served"])
-		}
+			for _, key := range []string{"requests", "served", "refused", "failed", "lost", "twice", "drain_late", "cold_over"} {
+				if _, is := got[key].(float64); !is {
+					t.Errorf("no figure %s in %v", key, got)
+				}
+			}
+			if key := map[string]string{"load": "requests_per_s", "xds-size": "changes"}[s.name]; key != "" {
+				if got[key].(float64) <= 0 {
+					t.Errorf("%v", got)
+				}
+				return
+			}
+			if got["served"].(float64) < 50 {
+				t.Errorf("%v served", got["served"])
+			}
+		})
 	}
 }
 
--- a/hollyspur.go
+++ b/hollyspur.go
@@ -194,6 +194,7 @@
 		Repeat   bool          // the client marked it as a repeat
 		Cost     time.Duration // hint of its work, as time on a standard core; 0: no hint
 		Tenant   string        // who asks, see Settings.TenantWeight and Settings.Tenants
+		Among    []string      // ids of the servers that it may go to; nil: any
 	}
 	// Outcome ends one attempt. Ended: the request has its final answer.
 	Outcome struct {
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -53,6 +53,7 @@
 	Repeat   bool          // the caller marked it as a repeat
 	Cost     time.Duration // hint of its work; 0: none
 	Tenant   string        // who asks, as far as the front can tell; MaxTenant bytes of it count
+	Among    []string      // addresses of the endpoints that it may go to; nil: any
 	Payload  any           // what the sender sends
 	To       Receiver
 
@@ -111,6 +112,13 @@
 		c.To.Ended(Answer{Verdict: Refused, RetryAfter: refusedRetryAfter})
 		return
 	}
+	among, ok := e.among(c.Among)
+	if !ok {
+		// Harmless: nothing was done for it.
+		c.finished.Store(true)
+		c.To.Ended(Answer{Verdict: Refused, RetryAfter: refusedRetryAfter})
+		return
+	}
 	if c.ID != "" {
 		e.callerIDs[c.ID] = true
 	}
@@ -127,7 +135,7 @@
 		}
 	})
 	e.handle(hollyspur.Request{ID: c.id, Class: c.Class, Deadline: c.Deadline, Repeat: c.Repeat, Cost: c.Cost,
-		Tenant: c.Tenant[:min(len(c.Tenant), MaxTenant)]})
+		Tenant: c.Tenant[:min(len(c.Tenant), MaxTenant)], Among: among})
 	if e.cfg.Held == nil || c.finished.Load() || len(c.attempts) > 0 {
 		return
 	}
@@ -139,6 +147,19 @@
 	}
 }
 
+// among are the ids of the endpoints at some addresses, as the list has them now; false: there are none.
+func (e *Engine) among(addrs []string) (ids []string, ok bool) {
+	if addrs == nil {
+		return nil, true
+	}
+	for _, a := range addrs {
+		if id := e.byAddr[a]; id != "" {
+			ids = append(ids, id)
+		}
+	}
+	return ids, ids != nil
+}
+
 // refusedRetryAfter is the advice with a refusal that is not the module's.
 const refusedRetryAfter = time.Second
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -68,6 +68,7 @@
 	calls     map[string]*Call
 	callerIDs map[string]bool // of calls
 	endpoints map[string]*Endpoint
+	byAddr    map[string]string // ids of endpoints by address
 	source    Source
 	observer  Observer // the source, if it is one; else nil
 	version   string   // of the list we hold; "": not this source's
@@ -81,7 +82,7 @@
 // New returns an engine that does nothing until Run.
 func New(cfg Config) *Engine {
 	e := &Engine{cfg: cfg, events: make(chan func(), 256), done: make(chan struct{}),
-		calls: map[string]*Call{}, callerIDs: map[string]bool{}, endpoints: map[string]*Endpoint{},
+		calls: map[string]*Call{}, callerIDs: map[string]bool{}, endpoints: map[string]*Endpoint{}, byAddr: map[string]string{},
 		source: cfg.Source, stopWatch: func() {}, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	e.observe(cfg.Source)
 	return e
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -56,6 +56,7 @@
 			e.remove(s.ID)
 			ep = &Endpoint{ID: s.ID, Addr: s.Addr, boot: s.Boot}
 			e.endpoints[s.ID] = ep
+			e.byAddr[s.Addr] = s.ID
 		}
 		ep.usable.Store(s.State == hollyspur.Ready)
 		if s.State != hollyspur.Ready {
@@ -80,6 +81,9 @@
 		ep.usable.Store(false)
 		e.cfg.Sender.Drop(ep)
 		delete(e.endpoints, id)
+		if e.byAddr[ep.Addr] == id { // else a newer one has the address
+			delete(e.byAddr, ep.Addr)
+		}
 	}
 }
 
--- a/internal/extproc/stream/stream.go
+++ b/internal/extproc/stream/stream.go
@@ -28,7 +28,9 @@
 const (
 	DestinationHeader = "x-gateway-destination-endpoint"        // where the request should go
 	ServedHeader      = "x-gateway-destination-endpoint-served" // where it went
+	SubsetHeader      = "x-gateway-destination-endpoint-subset" // the endpoints that it may go to
 	MetadataNamespace = "envoy.lb"
+	SubsetNamespace   = "envoy.lb.subset_hint"
 )
 
 // Bounds of a stream.
@@ -37,6 +39,7 @@
 	maxPendingMsgs = 64
 	maxHeaders     = 1000 // fields of a message
 	maxHeaderBytes = 128 << 10
+	maxSubset      = 10_000 // endpoints of a subset hint; those beyond are not chosen from
 )
 
 // Question is what a request's headers ask.
@@ -45,6 +48,8 @@
 	Header                  map[string][]string // by lower-case name, without pseudo-headers
 	EndOfStream             bool                // the request has no body
 	Observed                bool                // the proxy waits for no answer (observability_mode)
+	// Subset, if not nil, are the endpoints that it may go to, as ip:port. None: there is nowhere to go.
+	Subset []string
 }
 
 // Get is the first value of a header.
@@ -241,7 +246,7 @@
 func (s *Stream) handle(m *extproc.ProcessingRequest) {
 	switch r := m.GetRequest().(type) {
 	case *extproc.ProcessingRequest_RequestHeaders:
-		s.requestHeaders(r.RequestHeaders)
+		s.requestHeaders(r.RequestHeaders, m)
 	case *extproc.ProcessingRequest_RequestBody:
 		s.body(r.RequestBody, true)
 	case *extproc.ProcessingRequest_RequestTrailers:
@@ -286,7 +291,29 @@
 	return pseudo, header, nil
 }
 
-func (s *Stream) requestHeaders(h *extproc.HttpHeaders) {
+// subset reads the hint which endpoints a request may go to: in metadata, as a list or as text with commas. What
+// is in headers may be a caller's and is not read here. nil: there is no hint.
+func subset(m *extproc.ProcessingRequest) []string {
+	v := m.GetMetadataContext().GetFilterMetadata()[SubsetNamespace].GetFields()[SubsetHeader]
+	if v == nil {
+		return nil
+	}
+	l := []string{}
+	add := func(text string) {
+		for a := range strings.SplitSeq(text, ",") {
+			if a = strings.TrimSpace(a); a != "" && len(l) < maxSubset {
+				l = append(l, a)
+			}
+		}
+	}
+	for _, x := range v.GetListValue().GetValues() {
+		add(x.GetStringValue())
+	}
+	add(v.GetStringValue())
+	return l
+}
+
+func (s *Stream) requestHeaders(h *extproc.HttpHeaders, m *extproc.ProcessingRequest) {
 	if s.phase != fresh || s.headers.request {
 		s.violate(fmt.Errorf("%w: request headers twice", ErrOrder))
 		return
@@ -300,7 +327,7 @@
 		return ""
 	}
 	q := &Question{Method: one(":method"), Path: one(":path"), Authority: one(":authority"), Header: header,
-		EndOfStream: h.GetEndOfStream(), Observed: s.observed}
+		EndOfStream: h.GetEndOfStream(), Observed: s.observed, Subset: subset(m)}
 	if err == nil && (q.Method == "" || q.Path == "" || len(pseudo[":authority"]) > 1) {
 		err = fmt.Errorf("%w: not one :method, :path and :authority", ErrHeaders)
 	}
--- a/internal/front/extproc/front.go
+++ b/internal/front/extproc/front.go
@@ -30,6 +30,7 @@
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/reflection"
 	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 
 	"hollyspur"
 	"hollyspur/internal/engine"
@@ -86,6 +87,7 @@
 
 	astray  atomic.Int64 // requests that a proxy sent elsewhere than told
 	strayAt atomic.Int64 // when that was last said, Unix seconds
+	late    atomic.Int64 // questions that were not begun, for their time was nearly over
 }
 
 // New returns a front that serves proxies on l once Serve is called.
@@ -107,7 +109,7 @@
 		cfg.Known = 100_000
 	}
 	f := &Front{cfg: cfg, listener: l, health: health.NewServer(), book: newBook(cfg.Known), proxies: map[string]*bucket{}}
-	f.server = grpc.NewServer(grpc.MaxConcurrentStreams(cfg.Streams), grpc.MaxRecvMsgSize(maxMessage),
+	f.server = grpc.NewServer(grpc.MaxConcurrentStreams(cfg.Streams), grpc.MaxRecvMsgSize(maxMessage), grpc.InTapHandle(f.arrive),
 		// A stream lives for a moment: goroutines that are kept have grown their stacks already.
 		grpc.NumStreamWorkers(uint32(2*runtime.GOMAXPROCS(0)+64)), grpc.SharedWriteBuffer(true),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 30 * time.Second, Timeout: 10 * time.Second}),
@@ -119,6 +121,23 @@
 	return f
 }
 
+// arrivedKey is that of a stream's time of arrival in its context.
+type arrivedKey struct{}
+
+// arrive notes when a stream's headers were read, on the connection's own goroutine: under load the stream's one
+// begins much later, and the proxy's time runs from before both.
+func (f *Front) arrive(ctx context.Context, _ *tap.Info) (context.Context, error) {
+	return context.WithValue(ctx, arrivedKey{}, f.cfg.Clock.Now()), nil
+}
+
+// arrived is when a stream came.
+func (f *Front) arrived(ctx context.Context) time.Duration {
+	if at, is := ctx.Value(arrivedKey{}).(time.Duration); is {
+		return at
+	}
+	return f.cfg.Clock.Now()
+}
+
 // maxMessage is the most bytes of a message: Envoy sends bodies in pieces, or buffers of its own limit.
 const maxMessage = 4 << 20
 
@@ -178,6 +197,9 @@
 // Astray is how many requests proxies sent elsewhere than they were told.
 func (f *Front) Astray() int64 { return f.astray.Load() }
 
+// Late is how many questions were refused unbegun, for they had waited in this process for most of their time.
+func (f *Front) Late() int64 { return f.late.Load() }
+
 // mayAsk counts a question against its proxy's limit.
 func (f *Front) mayAsk(ctx context.Context) bool {
 	if f.cfg.Rate == 0 {
@@ -215,6 +237,7 @@
 	s      *stream.Stream
 	n      uint64
 	ticket *ticket
+	until  time.Duration // clock time by which the proxy must have its word
 	err    error
 }
 
@@ -258,9 +281,20 @@
 	return stream.Final{Status: http.StatusServiceUnavailable, RetryAfter: time.Second, Text: text}
 }
 
+// lateShare is the part of its time, one over that, which a question must have left to be begun.
+const lateShare = 4
+
 // ask asks the engine, or finds out what it has said, and waits for the decision.
 func (t *talk) ask(q *stream.Question) {
 	f := t.f
+	t.until = f.arrived(t.st.Context()) + f.cfg.Within
+	if f.cfg.Clock.Now() > t.until-f.cfg.Within/lateShare {
+		// There is more to do than can be done in time. Words that come late are worth nothing, so what has waited
+		// for most of its time is not begun: those that came after it get theirs.
+		f.late.Add(1)
+		t.carryOut(t.s.Answer(refusal("this processor is overloaded")))
+		return
+	}
 	if !f.mayAsk(t.st.Context()) {
 		t.carryOut(t.s.Answer(refusal("too many questions of this proxy")))
 		return
@@ -273,6 +307,10 @@
 			t.carryOut(t.s.Answer(*no))
 			return
 		}
+		if q.Subset != nil && len(q.Subset) == 0 {
+			t.carryOut(t.s.Answer(refusal("the subset of endpoints is empty")))
+			return
+		}
 		k, no := f.newTicket(q, p, class, id)
 		if no != nil {
 			t.carryOut(t.s.Answer(*no))
@@ -347,7 +385,8 @@
 		t.id = p.Name() + "\x00" + id
 	}
 	t.Call = engine.Call{ID: id, Class: name, Deadline: now + left - own, Last: now + left - own/2, To: t, Payload: t,
-		Repeat: q.Get("x-repeat") == "1", Tenant: q.Get("x-account")}
+		Repeat: q.Get("x-repeat") == "1", Tenant: q.Get("x-account"),
+		Among: q.Subset}
 	return t, nil
 }
 
@@ -405,7 +444,7 @@
 // await waits for the decision on the ticket, for as long as the proxy does.
 func (t *talk) await(q *stream.Question) {
 	k, f := t.ticket, t.f
-	timer := time.NewTimer(f.cfg.Within)
+	timer := time.NewTimer(t.until - f.cfg.Clock.Now())
 	defer timer.Stop()
 	for {
 		select {
--- a/internal/front/extproc/front_test.go
+++ b/internal/front/extproc/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -18,6 +19,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/structpb"
 
 	"hollyspur"
 	"hollyspur/internal/engine"
@@ -124,9 +126,10 @@
 
 // side is a stream of a proxy.
 type side struct {
-	t  testing.TB
-	st extproc.ExternalProcessor_ProcessClient
-	up context.CancelFunc
+	t    testing.TB
+	st   extproc.ExternalProcessor_ProcessClient
+	up   context.CancelFunc
+	meta *corev3.Metadata // beside request headers
 }
 
 func (w *world) stream() *side {
@@ -137,7 +140,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	return &side{w.t, st, cancel}
+	return &side{w.t, st, cancel, nil}
 }
 
 func fields(pairs ...string) *corev3.HeaderMap {
@@ -156,7 +159,7 @@
 	if id != "" {
 		h = append(h, "x-request-id", id)
 	}
-	if err := s.st.Send(&extproc.ProcessingRequest{Request: &extproc.ProcessingRequest_RequestHeaders{
+	if err := s.st.Send(&extproc.ProcessingRequest{MetadataContext: s.meta, Request: &extproc.ProcessingRequest_RequestHeaders{
 		RequestHeaders: &extproc.HttpHeaders{Headers: fields(h...)}}}); err != nil {
 		s.t.Fatal(err)
 	}
@@ -224,6 +227,50 @@
 	s.answer("200")
 }
 
+// lateStream is a stream that came a while ago.
+type lateStream struct {
+	extproc.ExternalProcessor_ProcessServer
+	ctx  context.Context
+	got  []*extproc.ProcessingRequest
+	sent []*extproc.ProcessingResponse
+}
+
+func (s *lateStream) Context() context.Context { return s.ctx }
+
+func (s *lateStream) Recv() (*extproc.ProcessingRequest, error) {
+	if len(s.got) == 0 {
+		return nil, io.EOF
+	}
+	m := s.got[0]
+	s.got = s.got[1:]
+	return m, nil
+}
+
+func (s *lateStream) Send(m *extproc.ProcessingResponse) error {
+	s.sent = append(s.sent, m)
+	return nil
+}
+
+// A question's time runs from its arrival: what has waited for most of it is refused unbegun, harmlessly.
+func TestLateQuestion(t *testing.T) {
+	w := newWorld(t, Config{}, "127.0.0.1:1")
+	for _, waited := range []time.Duration{0, w.front.cfg.Within - w.front.cfg.Within/lateShare/2} {
+		s := &lateStream{ctx: context.WithValue(context.Background(), arrivedKey{}, w.front.cfg.Clock.Now()-waited)}
+		s.got = []*extproc.ProcessingRequest{{Request: &extproc.ProcessingRequest_RequestHeaders{RequestHeaders: &extproc.HttpHeaders{
+			Headers: fields(":method", "GET", ":path", "/read/1", ":authority", "a")}}}}
+		if err := w.front.Process(s); err != nil {
+			t.Fatal(err)
+		}
+		late := s.sent[0].GetImmediateResponse().GetStatus().GetCode() == 503
+		if late != (waited > 0) {
+			t.Errorf("waited %v: %v", waited, s.sent)
+		}
+	}
+	if w.front.Late() != 1 {
+		t.Errorf("%d late", w.front.Late())
+	}
+}
+
 // The proxy drops the side channel while the request may be at its server. A retry, before or after the
 // slot is given back, goes only where the class allows.
 func TestDroppedSideChannel(t *testing.T) {
@@ -363,6 +410,54 @@
 	}
 }
 
+// A subset hint is the whole choice: a server of it, or a refusal at once.
+func TestSubset(t *testing.T) {
+	w := newWorld(t, Config{Within: time.Second}, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4")
+	many := make([]string, 5000)
+	for i := range many {
+		many[i] = fmt.Sprintf("10.0.%d.%d:80", i/250, i%250)
+	}
+	list := func(l ...string) *structpb.Value {
+		v := &structpb.ListValue{}
+		for _, x := range l {
+			v.Values = append(v.Values, structpb.NewStringValue(x))
+		}
+		return structpb.NewListValue(v)
+	}
+	for name, c := range map[string]struct {
+		hint *structpb.Value
+		want string
+	}{
+		"one":           {structpb.NewStringValue("127.0.0.1:3"), "127.0.0.1:3"},
+		"text":          {structpb.NewStringValue(" 127.0.0.1:3 , 127.0.0.9:9"), "127.0.0.1:3"},
+		"a list":        {list("127.0.0.9:9", "127.0.0.1:2"), "127.0.0.1:2"},
+		"5,000 and one": {list(append(many, "127.0.0.1:4")...), "127.0.0.1:4"},
+		"empty":         {structpb.NewStringValue(""), "503 retry-after"},
+		"an empty list": {list(), "503 retry-after"},
+		"unknown":       {list(many...), "503 retry-after"},
+		"nonsense":      {structpb.NewStringValue(",, x,"), "503 retry-after"},
+		"another type":  {structpb.NewNumberValue(7), "503 retry-after"},
+	} {
+		for i := range 8 { // a choice of all four would go elsewhere in most of these
+			s := w.stream()
+			s.meta = &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{stream.SubsetNamespace: {Fields: map[string]*structpb.Value{stream.SubsetHeader: c.hint}}}}
+			if got := s.ask("read", fmt.Sprint(name, i), 1); got != c.want {
+				t.Errorf("%s: %s, not %s", name, got, c.want)
+			}
+			if strings.HasPrefix(c.want, "127") {
+				s.answer("200")
+			}
+		}
+	}
+	// Only one that drains is named.
+	w.pool.Engine().Apply(engine.News{Version: "2", Servers: []engine.Listed{{Server: hollyspur.Server{ID: "127.0.0.1:1", State: hollyspur.Draining}, Addr: "127.0.0.1:1"}}})
+	s := w.stream()
+	s.meta = &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{stream.SubsetNamespace: {Fields: map[string]*structpb.Value{stream.SubsetHeader: list("127.0.0.1:1")}}}}
+	if got := s.ask("read", "draining", 1); got != "503 retry-after" {
+		t.Errorf("a subset that drains: %s", got)
+	}
+}
+
 // Two streams claim the same id at once: the second is turned away, unless it is the proxy's next try.
 func TestSameID(t *testing.T) {
 	w := newWorld(t, Config{}, "127.0.0.1:1", "127.0.0.1:2")
--- a/overload_test.go
+++ b/overload_test.go
@@ -105,9 +105,9 @@
 			b.Handle(9*time.Second, ServerList{Full: true, Servers: l}) // half warm: 0.6
 		}, 17, 18},
 		// It turned one away with two calls out, so the others get no more for it: three parts and two calls.
-		"one full": {func(b *Balancer) { b.servers["s02"].room, b.servers["s02"].full = 2, time.Hour }, 17, 17},
+		"one full":         {func(b *Balancer) { b.servers["s02"].room, b.servers["s02"].full = 2, time.Hour }, 17, 17},
 		"one with no room": {func(b *Balancer) { b.servers["s02"].room, b.servers["s02"].full = 0, time.Hour }, 15, 15},
-		"in vain": {func(b *Balancer) { b.vain, b.window = 0.9, 2 }, 2, 2},
+		"in vain":          {func(b *Balancer) { b.vain, b.window = 0.9, 2 }, 2, 2},
 	}
 	for name, c := range cases {
 		b := newBalancer(t, one)
--- a/policy.go
+++ b/policy.go
@@ -328,6 +328,12 @@
 	r := &request{id: e.ID, class: c, arrived: b.now, deadline: e.Deadline, repeat: e.Repeat,
 		cost: float64(e.Cost)}
 	b.requests[e.ID] = r
+	if e.Among != nil {
+		r.among = make(map[string]bool, len(e.Among))
+		for _, id := range e.Among {
+			r.among[id] = true
+		}
+	}
 	if b.set.TenantWeight > 0 {
 		r.tenant = b.asked(e.Tenant)
 	}
@@ -667,7 +673,7 @@
 	var small []*server
 	for _, s := range from {
 		switch {
-		case unfit[s] || s.calls >= limit(s) || !b.inScope(r, s) || tried(r, s):
+		case unfit[s] || s.calls >= limit(s) || !b.inScope(r, s) || tried(r, s) || r.among != nil && !r.among[s.ID]:
 		case b.warmEnough(s) && b.sizeEnough(s):
 			warm = append(warm, s)
 		case b.warmth(s) == 1:
--- a/state.go
+++ b/state.go
@@ -117,9 +117,10 @@
 type request struct {
 	id        string
 	class     *class
-	tenant    *tenant // nil: tenants are not told apart
-	quota     *quota  // nil: the tenant has none
-	over      bool    // asked beyond it
+	tenant    *tenant         // nil: tenants are not told apart
+	quota     *quota          // nil: the tenant has none
+	over      bool            // asked beyond it
+	among     map[string]bool // servers that it may go to; nil: any
 	arrived   time.Duration
 	deadline  time.Duration
 	cost      float64 // hint of the work, in ns; 0: none
