Limits of a proxy go by its identity; a per-try time-out before an internal listener is a finding

Need: a proxy has a connection for each worker, so a limit by connection was many times the one that was meant; and a try that per_try_timeout ends has no headers, so a policy on headers never follows it (TestPerTryTimeout shows it in the stand-in).

Change: limits by x-proxy-id, else by address, pure and bounded; proxy_streams; proxy-check names per_try_timeout on the outer route. Measured: TestLimitsProperty, TestProxyStreams.

--- a/cmd/cranegrade/main.go
+++ b/cmd/cranegrade/main.go
@@ -48,7 +48,7 @@
 func newExtProc(l net.Listener, x operator.ExtProc, clock engine.Clock, n *node.Node) node.Front {
 	return extproc.New(l, extproc.Config{Clock: clock, Routes: questions{n}, Within: x.Within, Linger: x.Linger, Retries: x.Retries,
 		Streams: uint32(x.Streams), Rate: x.Rate, ID: x.ID, Clear: x.Clear, Slim: x.Slim, TimeLeft: x.TimeLeft, Known: int(x.Known),
-		RetryHeader: x.RetryHeader})
+		RetryHeader: x.RetryHeader, ProxyStreams: int(x.ProxyStreams)})
 }
 
 // questions finds the pools of proxies' questions by the node's routes.
--- a/internal/envoyconf/build.go
+++ b/internal/envoyconf/build.go
@@ -55,7 +55,6 @@
 	Endpoints []string      // that the proxy knows, in the modes that need it; nil: by EDS over ADS
 	Streams   int64         // questions that may be open at once; 0: the proxy's own default
 	Connect   time.Duration // connect time-out: 250 ms
-	PerTry    time.Duration // per_try_timeout of the outer route (EveryTry); 0: none
 }
 
 // slack is how much longer the proxy waits than the processor's file says, so that the processor's word comes
@@ -214,9 +213,6 @@
                               retry_on: retriable-headers
                               num_retries: {{.Retries}}
                               retriable_headers: [{ name: "{{.Facts.RetryHeader}}", present_match: true }]
-{{- if .PerTry}}
-                              per_try_timeout: {{seconds .PerTry}}
-{{- end}}
                 http_filters:
 {{- template "router" .}}
     - name: {{.Inner}}
--- a/internal/envoyconf/check.go
+++ b/internal/envoyconf/check.go
@@ -221,6 +221,10 @@
 			c.add(host+".response_headers_to_remove", "callers see the header that is between the proxy and the processor, and may be proxies that believe it", "name "+c.facts.RetryHeader)
 		}
 	}
+	if p.GetPerTryTimeout() != nil || p.GetPerTryIdleTimeout() != nil {
+		c.add(at+".per_try_timeout", "a try that it ends shows the processor no answer, so there is no other: the caller gets 504 with time left",
+			"take it out: the processor's class has the deadline")
+	}
 	if vh.GetHedgePolicy() != nil {
 		c.hedge(host + ".hedge_policy")
 	}
--- a/internal/envoyconf/check_test.go
+++ b/internal/envoyconf/check_test.go
@@ -180,6 +180,7 @@
 		{EveryTry, "retries by itself", "retry_on: retriable-headers", `retry_on: "retriable-headers,connect-failure"`, outer + host + ".routes[0].route.retry_policy.retry_on"},
 		{EveryTry, "another header", `retriable_headers: [{ name: "x-again"`, `retriable_headers: [{ name: "x-other"`, outer + host + ".routes[0].route.retry_policy.retriable_headers"},
 		{EveryTry, "shows the header", `response_headers_to_remove: ["x-again"]`, `response_headers_to_remove: ["x-other"]`, outer + host + ".response_headers_to_remove"},
+		{EveryTry, "cuts tries", "num_retries: 2", "num_retries: 2\n                              per_try_timeout: 1s", outer + host + ".routes[0].route.retry_policy.per_try_timeout"},
 		{EveryTry, "never tries again", "retry_on: retriable-headers", `retry_on: ""`, outer + host + ".routes[0].route.retry_policy"},
 		{EveryTry, "counts no tries", "include_request_attempt_count: true", "include_request_attempt_count: false", outer + host + ".include_request_attempt_count"},
 		{EveryTry, "believes callers", "use_remote_address: true", "use_remote_address: false", outer + ".use_remote_address"},
--- a/internal/front/extproc/front.go
+++ b/internal/front/extproc/front.go
@@ -27,6 +27,7 @@
 	"google.golang.org/grpc/health"
 	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/reflection"
 	"google.golang.org/grpc/status"
@@ -57,9 +58,11 @@
 	RetryHeader string
 	Streams     uint32  // that one connection may have open: 10,000
 	Rate        float64 // questions a second of one proxy; 0: no limit
-	ID          string  // header that names a request: x-request-id
-	Clear       bool    // have the proxy choose its route anew (clear_route_cache)
-	Slim        bool    // have it send no bodies and trailers, if it allows (mode_override)
+	// ProxyStreams is how many streams one proxy may have open over all its connections; 0: no limit.
+	ProxyStreams int
+	ID           string // header that names a request: x-request-id
+	Clear        bool   // have the proxy choose its route anew (clear_route_cache)
+	Slim         bool   // have it send no bodies and trailers, if it allows (mode_override)
 	// TimeLeft has each decision tell the server, in x-time-left, how long its answer is waited for.
 	TimeLeft bool
 	Known    int // requests that are over and remembered: 100,000
@@ -83,7 +86,7 @@
 	words    words
 
 	mu      sync.Mutex // guards proxies
-	proxies map[string]*bucket
+	proxies limits
 
 	astray  atomic.Int64 // requests that a proxy sent elsewhere than told
 	strayAt atomic.Int64 // when that was last said, Unix seconds
@@ -108,7 +111,8 @@
 	if cfg.Known == 0 {
 		cfg.Known = 100_000
 	}
-	f := &Front{cfg: cfg, listener: l, health: health.NewServer(), book: newBook(cfg.Known), proxies: map[string]*bucket{}}
+	f := &Front{cfg: cfg, listener: l, health: health.NewServer(), book: newBook(cfg.Known),
+		proxies: limits{rate: cfg.Rate, streams: cfg.ProxyStreams}}
 	f.server = grpc.NewServer(grpc.MaxConcurrentStreams(cfg.Streams), grpc.MaxRecvMsgSize(maxMessage), grpc.InTapHandle(f.arrive),
 		// A stream lives for a moment: goroutines that are kept have grown their stacks already.
 		grpc.NumStreamWorkers(uint32(2*runtime.GOMAXPROCS(0)+64)), grpc.SharedWriteBuffer(true),
@@ -200,36 +204,28 @@
 // Late is how many questions were refused unbegun, for they had waited in this process for most of their time.
 func (f *Front) Late() int64 { return f.late.Load() }
 
-// mayAsk counts a question against its proxy's limit.
-func (f *Front) mayAsk(ctx context.Context) bool {
-	if f.cfg.Rate == 0 {
-		return true
+// ProxyID is the gRPC metadata by which a proxy names itself (initial_metadata of its grpc_service).
+const ProxyID = "x-proxy-id"
+
+// maxProxyID is how much of such a name counts.
+const maxProxyID = 128
+
+// identity is whom a stream is of: the name that the proxy gives, else its address without the port, since it has
+// a connection for each of its workers.
+func identity(ctx context.Context) string {
+	if v := metadata.ValueFromIncomingContext(ctx, ProxyID); len(v) == 1 && v[0] != "" {
+		return "id " + v[0][:min(len(v[0]), maxProxyID)]
 	}
-	host := ""
-	if p, is := peer.FromContext(ctx); is {
-		host = p.Addr.String() // a connection's: a proxy's worker has one
+	p, is := peer.FromContext(ctx)
+	if !is || p.Addr == nil {
+		return "?"
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.cfg.Clock.Now()
-	b := f.proxies[host]
-	if b == nil {
-		if len(f.proxies) >= maxProxies {
-			for k, old := range f.proxies {
-				if now-old.at > time.Second { // it is full again by now
-					delete(f.proxies, k)
-				}
-			}
-		}
-		b = &bucket{rate: f.cfg.Rate, tokens: f.cfg.Rate, at: now}
-		f.proxies[host] = b
+	if host, _, err := net.SplitHostPort(p.Addr.String()); err == nil {
+		return host
 	}
-	return b.take(now)
+	return p.Addr.String()
 }
 
-// maxProxies is how many proxies' limits are kept before old ones are looked for.
-const maxProxies = 4096
-
 // talk is one stream on its way.
 type talk struct {
 	f      *Front
@@ -237,6 +233,8 @@
 	s      *stream.Stream
 	n      uint64
 	ticket *ticket
+	of     *bucket       // the proxy's
+	room   bool          // it may have this stream
 	until  time.Duration // clock time by which the proxy must have its word
 	err    error
 }
@@ -244,6 +242,15 @@
 // Process serves one stream: one request of a proxy.
 func (f *Front) Process(st extproc.ExternalProcessor_ProcessServer) error {
 	t := &talk{f: f, st: st, s: stream.New(), n: f.streams.Add(1)}
+	id := identity(st.Context())
+	f.mu.Lock()
+	t.of, t.room = f.proxies.begin(f.cfg.Clock.Now(), id)
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		t.of.open--
+		f.mu.Unlock()
+	}()
 	for !t.s.Over() {
 		m, err := st.Recv()
 		if err != nil {
@@ -295,7 +302,10 @@
 		t.carryOut(t.s.Answer(refusal("this processor is overloaded")))
 		return
 	}
-	if !f.mayAsk(t.st.Context()) {
+	f.mu.Lock()
+	ok := f.proxies.take(f.cfg.Clock.Now(), t.of)
+	f.mu.Unlock()
+	if !ok || !t.room {
 		t.carryOut(t.s.Answer(refusal("too many questions of this proxy")))
 		return
 	}
--- a/internal/front/extproc/front_test.go
+++ b/internal/front/extproc/front_test.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/structpb"
 
@@ -563,18 +564,61 @@
 	if refused == 0 {
 		t.Error("no question over the limit")
 	}
-	b := &bucket{rate: 10, tokens: 10}
-	n := 0
+	l := limits{rate: 10}
+	n, b := 0, l.of(0, "a")
 	for range 20 {
-		if b.take(0) {
+		if l.take(0, b) {
 			n++
 		}
 	}
-	if n != 10 || !b.take(100*time.Millisecond) || b.take(100*time.Millisecond) {
+	if n != 10 || !l.take(100*time.Millisecond, b) || l.take(100*time.Millisecond, b) {
 		t.Errorf("%d at once", n)
 	}
 }
 
+// A proxy is one over all its connections, by the name that it gives; others are not touched by its limit.
+func TestProxyStreams(t *testing.T) {
+	w := newWorld(t, Config{ProxyStreams: 2}, "127.0.0.1:1")
+	as := func(name string) *side {
+		ctx, cancel := context.WithTimeout(metadata.AppendToOutgoingContext(context.Background(), ProxyID, name), limit)
+		t.Cleanup(cancel)
+		st, err := w.client.Process(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &side{t, st, cancel, nil}
+	}
+	var open []*side
+	for i := range 2 {
+		s := as("a")
+		if got := s.ask("read", fmt.Sprint("a", i), 1); got != "127.0.0.1:1" {
+			t.Errorf("stream %d: %s", i, got)
+		}
+		open = append(open, s)
+	}
+	if got := as("a").ask("read", "a3", 1); got != "503 retry-after" {
+		t.Errorf("one too many: %s", got)
+	}
+	s := as("b")
+	if got := s.ask("read", "b", 1); got != "127.0.0.1:1" {
+		t.Errorf("another proxy: %s", got)
+	}
+	s.answer("200")
+	for _, s := range open {
+		s.answer("200")
+	}
+	testkit.Eventually(t, "streams are not given back", func() bool {
+		w.front.mu.Lock()
+		defer w.front.mu.Unlock()
+		return w.front.proxies.by["id a"].open == 0
+	})
+	s = as("a")
+	if got := s.ask("read", "a4", 1); got != "127.0.0.1:1" {
+		t.Errorf("after they ended: %s", got)
+	}
+	s.answer("200")
+}
+
 // A proxy that does not keep to the protocol has its stream ended, and nothing else.
 func TestViolation(t *testing.T) {
 	w := newWorld(t, Config{}, "127.0.0.1:1")
--- /dev/null
+++ b/internal/front/extproc/limit_test.go
@@ -0,0 +1,56 @@
+package extproc
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever the proxies do, none asks more than its rate and a second's burst, none has more streams than it may,
+// and the identities that are kept are bounded.
+func TestLimitsProperty(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		l := limits{rate: 10, streams: 3}
+		now := time.Duration(0)
+		asked, open := map[string]float64{}, map[string][]*bucket{}
+		for range rapid.IntRange(1, 200).Draw(r, "n") {
+			now += time.Duration(rapid.IntRange(0, 50).Draw(r, "gap")) * time.Millisecond
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "id")
+			if o := open[id]; len(o) > 0 && rapid.Bool().Draw(r, "end") {
+				o[0].open--
+				open[id] = o[1:]
+				continue
+			}
+			b, ok := l.begin(now, id)
+			if ok != (len(open[id]) < 3) {
+				r.Fatalf("%s has %d streams, one more: %v", id, len(open[id]), ok)
+			}
+			open[id] = append(open[id], b)
+			if l.take(now, b) {
+				asked[id]++
+			}
+			if most := 10 + 10*now.Seconds() + 1e-6; asked[id] > most {
+				r.Fatalf("%s asked %v times in %v", id, asked[id], now)
+			}
+		}
+	})
+	l := limits{rate: 1}
+	for i := range 5 * maxProxies {
+		b, _ := l.begin(time.Duration(i)*time.Microsecond, fmt.Sprint("made up ", i))
+		l.take(time.Duration(i)*time.Microsecond, b)
+	}
+	if len(l.by) > maxProxies+1 {
+		t.Errorf("%d identities are kept", len(l.by))
+	}
+	many := 0
+	for i := range 100 { // of those beyond the bound all share one bucket
+		if b, _ := l.begin(time.Millisecond*30, fmt.Sprint("another ", i)); l.take(time.Millisecond*30, b) {
+			many++
+		}
+	}
+	if many > 1 {
+		t.Errorf("%d questions of made-up proxies, 1 a second are allowed", many)
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -134,7 +134,7 @@
 	p.ExtProc = &ExtProc{Listen: x.text("listen", ""), Within: x.time("decide_within", 150e6), Linger: x.time("linger", 500e6),
 		Retries: x.yes("retries", false), Streams: x.count("streams", 10_000), Rate: x.number("rate", 0),
 		ID: strings.ToLower(x.text("id_header", "x-request-id")), Clear: x.yes("clear_route_cache", false),
-		Slim: x.yes("headers_only", true), TimeLeft: x.yes("time_left", false), Known: x.count("remember", 100_000),
+		Slim: x.yes("headers_only", true), TimeLeft: x.yes("time_left", false), Known: x.count("remember", 100_000), ProxyStreams: x.count("proxy_streams", 0),
 		RetryHeader: strings.ToLower(x.text("retry_header", defaultRetryHeader))}
 	if err := address(p.ExtProc.Listen, true); err != nil {
 		x.fault("listen", "%v", err)
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -54,6 +54,8 @@
 	TimeLeft bool          // tell servers, in x-time-left, how long they have
 	Known    int64         // requests that are over and remembered
 
+	ProxyStreams int64 // of one proxy, over all its connections; 0: no limit
+
 	RetryHeader string // set in the answer to a failed try if there may be another
 }
 
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -37,7 +37,6 @@
 	Classes   []standin.Class // safe ones may be tried again in mode fallbacks
 	Retries   int             // further tries, in the modes that have any
 	Greedy    bool            // it also tries again by itself whatever failed, as a careless one does
-	PerTry    time.Duration   // per_try_timeout in mode every-try
 	Deaf      bool            // it sends requests elsewhere than it is told
 	Elsewhere func(told string) string
 	Drop      func() bool // asked for each request: drop the side channel while the request is at its server
@@ -101,7 +100,7 @@
 
 // yaml is what an operator would have of cranegrade proxy-config.
 func (c Config) yaml() (string, error) {
-	p := envoyconf.Proxy{Mode: c.Mode, Processor: c.Processor, Retries: c.Retries, Endpoints: c.Endpoints, PerTry: c.PerTry}
+	p := envoyconf.Proxy{Mode: c.Mode, Processor: c.Processor, Retries: c.Retries, Endpoints: c.Endpoints}
 	if p.Mode == "" {
 		if p.Mode = envoyconf.ByHeader; c.Retries > 0 {
 			p.Mode = envoyconf.EveryTry
--- a/internal/standin/proxy/proxy_test.go
+++ b/internal/standin/proxy/proxy_test.go
@@ -161,6 +161,29 @@
 	}
 }
 
+// A per-try time-out ends a try without headers, so that a policy on headers never tries again.
+func TestPerTryTimeout(t *testing.T) {
+	k, addr, rec, class := rig(t, RetryHeader)
+	text, err := Config{Processor: addr, Timeout: 5 * time.Second, Retries: 2}.yaml()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0") // takes connections and says nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	k.list[0] = l.Addr().String()
+	p, err := New("p", rec, Config{YAML: strings.Replace(text, "num_retries: 2", "num_retries: 2\n                              per_try_timeout: 0.05s", 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	if x := p.Do(context.Background(), standin.Stream{Class: class, Host: "a"}); x.Status != 504 || p.Sent.Load() != 1 {
+		t.Errorf("status %d after %d tries", x.Status, p.Sent.Load())
+	}
+}
+
 // What is not modelled is refused, not passed over.
 func TestRefused(t *testing.T) {
 	good, err := Config{Processor: "127.0.0.1:1", Timeout: time.Second}.yaml()
