--- a/internal/front/extproc/front.go
+++ b/internal/front/extproc/front.go
@@ -14,6 +14,7 @@
 	"log"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime"
 	"strconv"
 	"strings"
@@ -212,18 +213,22 @@
 
 // identity is whom a stream is of: the name that the proxy gives, else its address without the port, since it has
 // a connection for each of its workers.
-func identity(ctx context.Context) string {
+type identity struct {
+	name string
+	addr netip.Addr
+}
+
+// identityOf words nothing: that would grow the stack of every stream by half.
+func identityOf(ctx context.Context) identity {
 	if v := metadata.ValueFromIncomingContext(ctx, ProxyID); len(v) == 1 && v[0] != "" {
-		return "id " + v[0][:min(len(v[0]), maxProxyID)]
-	}
-	p, is := peer.FromContext(ctx)
-	if !is || p.Addr == nil {
-		return "?"
+		return identity{name: v[0][:min(len(v[0]), maxProxyID)]}
 	}
-	if host, _, err := net.SplitHostPort(p.Addr.String()); err == nil {
-		return host
+	if p, is := peer.FromContext(ctx); is {
+		if a, is := p.Addr.(*net.TCPAddr); is {
+			return identity{addr: a.AddrPort().Addr()}
+		}
 	}
-	return p.Addr.String()
+	return identity{}
 }
 
 // talk is one stream on its way.
@@ -242,7 +247,7 @@
 // Process serves one stream: one request of a proxy.
 func (f *Front) Process(st extproc.ExternalProcessor_ProcessServer) error {
 	t := &talk{f: f, st: st, s: stream.New(), n: f.streams.Add(1)}
-	id := identity(st.Context())
+	id := identityOf(st.Context())
 	f.mu.Lock()
 	t.of, t.room = f.proxies.begin(f.cfg.Clock.Now(), id)
 	f.mu.Unlock()
@@ -263,21 +268,27 @@
 	return t.err
 }
 
-// carryOut does what the state machine says.
+// carryOut does what the state machine says, and what follows from that. It works off a list and does not nest:
+// writing is deep in the library, and every frame below it is on the stack of each open stream.
 func (t *talk) carryOut(l []stream.Action) {
-	for _, a := range l {
+	for len(l) > 0 {
+		a, rest := l[0], l[1:]
+		var more []stream.Action
 		switch a := a.(type) {
 		case stream.Reply:
 			t.send(a)
 		case stream.Ask:
-			t.ask(a.Question)
+			more = t.ask(a.Question)
 		case stream.Outcome:
-			t.ended(a)
+			more = t.ended(a)
 		case stream.Hangup:
 			if a.Err != nil {
 				t.err = status.Error(codes.InvalidArgument, a.Err.Error())
 			}
 		}
+		if l = rest; len(more) > 0 {
+			l = append(more, rest...)
+		}
 	}
 }
 
@@ -292,78 +303,67 @@
 const lateShare = 4
 
 // ask asks the engine, or finds out what it has said, and waits for the decision.
-func (t *talk) ask(q *stream.Question) {
+func (t *talk) ask(q *stream.Question) []stream.Action {
 	f := t.f
 	t.until = f.arrived(t.st.Context()) + f.cfg.Within
 	if f.cfg.Clock.Now() > t.until-f.cfg.Within/lateShare {
 		// There is more to do than can be done in time. Words that come late are worth nothing, so what has waited
 		// for most of its time is not begun: those that came after it get theirs.
 		f.late.Add(1)
-		t.carryOut(t.s.Answer(refusal("this processor is overloaded")))
-		return
+		return t.s.Answer(refusal("this processor is overloaded"))
 	}
 	f.mu.Lock()
 	ok := f.proxies.take(f.cfg.Clock.Now(), t.of)
 	f.mu.Unlock()
 	if !ok || !t.room {
-		t.carryOut(t.s.Answer(refusal("too many questions of this proxy")))
-		return
+		return t.s.Answer(refusal("too many questions of this proxy"))
 	}
 	id := q.Get(f.cfg.ID)
 	tries, _ := strconv.Atoi(q.Get("x-envoy-attempt-count"))
 	for {
 		p, class, no := f.cfg.Routes.Ask(q, id)
 		if no != nil {
-			t.carryOut(t.s.Answer(*no))
-			return
+			return t.s.Answer(*no)
 		}
 		if q.Subset != nil && len(q.Subset) == 0 {
-			t.carryOut(t.s.Answer(refusal("the subset of endpoints is empty")))
-			return
+			return t.s.Answer(refusal("the subset of endpoints is empty"))
 		}
 		k, no := f.newTicket(q, p, class, id)
 		if no != nil {
-			t.carryOut(t.s.Answer(*no))
-			return
+			return t.s.Answer(*no)
 		}
 		now := f.cfg.Clock.Now()
 		found, open, answer := f.book.enter(now, k.id, k)
 		switch {
 		case found && open == nil:
 			// It is over: what may not run again gets what became of it, and no server.
-			t.carryOut(t.s.Answer(finalOf(answer)))
-			return
+			return t.s.Answer(finalOf(answer))
 		case found && !open.carry(t.n, tries):
-			t.carryOut(t.s.Answer(stream.Final{Status: http.StatusConflict, Text: "a request with this id is open"}))
-			return
+			return t.s.Answer(stream.Final{Status: http.StatusConflict, Text: "a request with this id is open"})
 		case found:
 			// The proxy's next try. Its last one is over for it, and may have run.
 			t.ticket = open
 			open.end(nil, hollyspur.Withdrawn)
-			t.await(q)
-			return
+			return t.await()
 		}
 		if c, _ := p.Class(class); tries > 1 && mustNotRunAgain(c) {
 			// A further try of a request that we know nothing of: we have started anew, or it asked another node
 			// before. Its earlier tries may have run.
 			t.ticket = k
 			t.over(engine.Answer{Verdict: engine.Failed})
-			t.carryOut(t.s.Answer(stream.Final{Status: http.StatusBadGateway, Text: "an earlier try is not known here and may have run"}))
-			return
+			return t.s.Answer(stream.Final{Status: http.StatusBadGateway, Text: "an earlier try is not known here and may have run"})
 		}
 		if err := k.enter(); err == pool.ErrRetired {
 			f.book.close(now, k.id, k, engine.Answer{}, 0)
 			continue // the routes name another by now
 		} else if err != nil {
 			f.book.close(now, k.id, k, engine.Answer{}, 0)
-			t.carryOut(t.s.Answer(refusal(err.Error())))
-			return
+			return t.s.Answer(refusal(err.Error()))
 		}
 		t.ticket = k
 		k.carry(t.n, tries)
 		p.Engine().Submit(&k.Call)
-		t.await(q)
-		return
+		return t.await()
 	}
 }
 
@@ -452,7 +452,7 @@
 }
 
 // await waits for the decision on the ticket, for as long as the proxy does.
-func (t *talk) await(q *stream.Question) {
+func (t *talk) await() []stream.Action {
 	k, f := t.ticket, t.f
 	timer := time.NewTimer(t.until - f.cfg.Clock.Now())
 	defer timer.Stop()
@@ -485,12 +485,10 @@
 				d.Message = f.words.word(d)
 			}
 			l, _ := t.s.Decide(d)
-			t.carryOut(l)
-			return
+			return l
 		case a := <-k.answers:
 			t.over(a)
-			t.carryOut(t.s.Answer(finalOf(a)))
-			return
+			return t.s.Answer(finalOf(a))
 		case <-timer.C:
 			// The proxy is about to give up. Nothing was decided for this stream; what was carried before it
 			// may have run.
@@ -502,17 +500,15 @@
 			t.over(a)
 			final := finalOf(a)
 			final.Text = fmt.Sprintf("no server within %v", f.cfg.Within)
-			t.carryOut(t.s.Answer(final))
-			return
+			return t.s.Answer(final)
 		case <-t.st.Context().Done():
-			t.carryOut(t.s.End())
-			return
+			return t.s.End()
 		}
 	}
 }
 
 // ended books an attempt's end, as far as the proxy tells.
-func (t *talk) ended(o stream.Outcome) {
+func (t *talk) ended(o stream.Outcome) []stream.Action {
 	k, f := t.ticket, t.f
 	good := o.Ending == hollyspur.Success // whoever served it
 	switch told, spare := k.endpoint(o.Served); {
@@ -528,15 +524,15 @@
 		}
 	}
 	if !o.Answered {
-		return // the stream was lost: see lost
+		return nil // the stream was lost: see lost
 	}
 	if f.cfg.Retries && !good {
 		// The proxy may come again. The module says now whether it may, and where.
 		k.end(nil, o.Ending)
 		if o.Judging {
-			t.judge()
+			return t.judge()
 		}
-		return
+		return nil
 	}
 	verdict := engine.Failed
 	if good {
@@ -544,11 +540,12 @@
 	}
 	k.settle(o.Ending)
 	t.over(engine.Answer{Verdict: verdict})
+	return nil
 }
 
 // judge tells the proxy whether there is another try of the request: there is once the module has a server for
 // it, which waits for the stream that asks for it.
-func (t *talk) judge() {
+func (t *talk) judge() []stream.Action {
 	k, f := t.ticket, t.f
 	timer := time.NewTimer(f.cfg.Within)
 	defer timer.Stop()
@@ -557,8 +554,7 @@
 	case o := <-k.offers:
 		if k.offer(o) {
 			l, _ := t.s.Judge(stream.Judgement{Again: true})
-			t.carryOut(l)
-			return
+			return l
 		}
 		k.pool.Engine().Gone(&k.Call)
 	case a = <-k.answers:
@@ -567,14 +563,14 @@
 		k.pool.Engine().Gone(&k.Call)
 		a = engine.Answer{Verdict: engine.Refused, RetryAfter: time.Second}
 	case <-t.st.Context().Done():
-		return // lost deals with what it leaves
+		return nil // lost deals with what it leaves
 	}
 	if class, _ := k.pool.Class(k.Class); k.mayHaveRun() && mustNotRunAgain(class) {
 		a.Verdict = engine.Failed
 	}
 	t.over(a)
 	l, _ := t.s.Judge(stream.Judgement{Refused: a.Verdict == engine.Refused, RetryAfter: a.RetryAfter})
-	t.carryOut(l)
+	return l
 }
 
 // stray says, now and then, that a proxy does not do as it is told.
--- a/internal/front/extproc/front_test.go
+++ b/internal/front/extproc/front_test.go
@@ -565,7 +565,7 @@
 		t.Error("no question over the limit")
 	}
 	l := limits{rate: 10}
-	n, b := 0, l.of(0, "a")
+	n, b := 0, l.of(0, identity{name: "a"})
 	for range 20 {
 		if l.take(0, b) {
 			n++
@@ -610,7 +610,7 @@
 	testkit.Eventually(t, "streams are not given back", func() bool {
 		w.front.mu.Lock()
 		defer w.front.mu.Unlock()
-		return w.front.proxies.by["id a"].open == 0
+		return w.front.proxies.by[identity{name: "a"}].open == 0
 	})
 	s = as("a")
 	if got := s.ask("read", "a4", 1); got != "127.0.0.1:1" {
--- a/internal/front/extproc/limit.go
+++ b/internal/front/extproc/limit.go
@@ -7,7 +7,7 @@
 type limits struct {
 	rate    float64 // questions a second; 0: no limit
 	streams int     // open at once; 0: no limit
-	by      map[string]*bucket
+	by      map[identity]*bucket
 	swept   time.Duration
 }
 
@@ -26,9 +26,9 @@
 const sweepEvery = time.Second
 
 // of finds a proxy's bucket.
-func (l *limits) of(now time.Duration, id string) *bucket {
+func (l *limits) of(now time.Duration, id identity) *bucket {
 	if l.by == nil {
-		l.by = map[string]*bucket{}
+		l.by = map[identity]*bucket{}
 	}
 	if b := l.by[id]; b != nil {
 		return b
@@ -42,7 +42,7 @@
 		}
 	}
 	if len(l.by) >= maxProxies {
-		id = ""
+		id = identity{}
 		if b := l.by[id]; b != nil {
 			return b
 		}
@@ -54,7 +54,7 @@
 
 // begin notes a stream that begins, and says whether there may be one more. End the bucket's open count in any
 // case: a stream that may not be is there until it is answered.
-func (l *limits) begin(now time.Duration, id string) (b *bucket, ok bool) {
+func (l *limits) begin(now time.Duration, id identity) (b *bucket, ok bool) {
 	b = l.of(now, id)
 	b.open++
 	return b, l.streams == 0 || b.open <= l.streams
--- a/internal/front/extproc/limit_test.go
+++ b/internal/front/extproc/limit_test.go
@@ -23,7 +23,7 @@
 				open[id] = o[1:]
 				continue
 			}
-			b, ok := l.begin(now, id)
+			b, ok := l.begin(now, identity{name: id})
 			if ok != (len(open[id]) < 3) {
 				r.Fatalf("%s has %d streams, one more: %v", id, len(open[id]), ok)
 			}
@@ -38,7 +38,7 @@
 	})
 	l := limits{rate: 1}
 	for i := range 5 * maxProxies {
-		b, _ := l.begin(time.Duration(i)*time.Microsecond, fmt.Sprint("made up ", i))
+		b, _ := l.begin(time.Duration(i)*time.Microsecond, identity{name: fmt.Sprint("made up ", i)})
 		l.take(time.Duration(i)*time.Microsecond, b)
 	}
 	if len(l.by) > maxProxies+1 {
@@ -46,7 +46,7 @@
 	}
 	many := 0
 	for i := range 100 { // of those beyond the bound all share one bucket
-		if b, _ := l.begin(time.Millisecond*30, fmt.Sprint("another ", i)); l.take(time.Millisecond*30, b) {
+		if b, _ := l.begin(time.Millisecond*30, identity{name: fmt.Sprint("another ", i)}); l.take(time.Millisecond*30, b) {
 			many++
 		}
 	}
