Where connections break, a request that must not run twice knocks first

TestKnock: of ten requests at a server that drops every second connection at the first bytes, none ends as one that may have run.

--- a/internal/sender/http1/conns.go
+++ b/internal/sender/http1/conns.go
@@ -28,6 +28,8 @@
 
 	start time.Time // trust's times count from it
 
+	leastKnock time.Duration
+
 	mu    sync.Mutex                   // guards all below
 	idle  map[*engine.Endpoint][]*conn // the latest used last
 	open  int                          // connections there are, idle ones and dials among them
@@ -41,6 +43,7 @@
 	limit *io.LimitedReader // under r
 	since time.Time         // idle since
 	kept  bool              // it carried a request before this one
+	trip  time.Duration     // how long it took to come up: a trip there and back, and more
 }
 
 var errNoRoom = errors.New("no descriptor left for another connection")
@@ -64,9 +67,15 @@
 			break // the one that is dialled takes its place
 		}
 	}
+	return p.dial(ctx, ep)
+}
+
+// dial brings up a connection.
+func (p *conns) dial(ctx context.Context, ep *engine.Endpoint) (*conn, error) {
 	if !p.reserve() {
 		return nil, errNoRoom
 	}
+	began := time.Now()
 	d := net.Dialer{Timeout: p.connect}
 	nc, err := d.DialContext(ctx, "tcp", ep.Addr)
 	if err != nil {
@@ -74,7 +83,14 @@
 		return nil, err
 	}
 	limit := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, r: bufio.NewReader(limit), limit: limit}, nil
+	return &conn{Conn: nc, r: bufio.NewReader(limit), limit: limit, trip: time.Since(began)}, nil
+}
+
+// wary says that a request which must not run twice is to be written in two parts on this connection.
+func (p *conns) wary(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.trust.wary(time.Since(p.start), c.kept)
 }
 
 func (p *conns) takeIdle(ep *engine.Endpoint) *conn {
--- a/internal/sender/http1/http1.go
+++ b/internal/sender/http1/http1.go
@@ -7,7 +7,9 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -40,7 +42,7 @@
 	return &Sender{answers: cfg.LongAnswers, wholeWithin: wholeWithin, conns: conns{
 		// Clearly before the server closes it: a request that crosses the close is lost to a reset.
 		idleFor: cfg.Idle * 3 / 4, connect: cfg.Connect, settled: settled,
-		start: time.Now(), idle: map[*engine.Endpoint][]*conn{}, room: cfg.Connections}}
+		start: time.Now(), leastKnock: leastKnock, idle: map[*engine.Endpoint][]*conn{}, room: cfg.Connections}}
 }
 
 // Start makes an attempt on a goroutine of its own.
@@ -85,7 +87,34 @@
 		return result{ending: ending}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() }) // all that stops an exchange
-	res, keep := s.exchange(ctx, c, r, text.Bytes())
+	rest := text.Bytes()
+	if unsafe(a.Payload.(*message.Request)) && s.wary(c) {
+		if rest, err = c.knock(rest, s.leastKnock); err != nil && ctx.Err() == nil {
+			// No server has a request yet, so another connection makes no second attempt of it.
+			s.saw(c, true)
+			stop()
+			s.close(c)
+			if c, err = s.dial(ctx, a.Endpoint); err != nil {
+				return result{ending: hollyspur.Unreachable}
+			}
+			if !a.Endpoint.Usable() {
+				s.close(c)
+				return result{ending: hollyspur.Unreachable}
+			}
+			stop = context.AfterFunc(ctx, func() { c.Conn.Close() })
+			rest, err = c.knock(text.Bytes(), s.leastKnock)
+		}
+		if err != nil {
+			s.saw(c, ctx.Err() == nil)
+			stop()
+			s.close(c)
+			if ctx.Err() != nil {
+				return result{ending: hollyspur.Void}
+			}
+			return result{ending: hollyspur.Unreachable}
+		}
+	}
+	res, keep := s.exchange(ctx, c, r, rest)
 	if ctx.Err() == nil { // else what ended it was not the connection
 		s.saw(c, res.ending == hollyspur.Broken || res.ending == hollyspur.Unreachable)
 	}
@@ -97,6 +126,36 @@
 	return res
 }
 
+// Bounds of the wait between the two parts of a request.
+const (
+	leastKnock = 500 * time.Microsecond
+	mostKnock  = 20 * time.Millisecond
+)
+
+// knock writes a request's head but for its last byte, and waits for as long as a reset would take to come back. No
+// server begins a request whose head is not whole (RFC 9112, section 2.1), so an error proves that it never ran.
+// rest is what is still to be written.
+func (c *conn) knock(text []byte, least time.Duration) (rest []byte, err error) {
+	n := bytes.Index(text, []byte("\r\n\r\n"))
+	if n < 0 {
+		return text, nil
+	}
+	n += 3
+	if _, err := c.Write(text[:n]); err != nil {
+		return nil, err
+	}
+	c.limit.N = maxHeads
+	if err := c.SetReadDeadline(time.Now().Add(max(min(2*c.trip, mostKnock), least))); err != nil {
+		return nil, err
+	}
+	_, err = c.r.Peek(1)
+	var timeout net.Error
+	if err == nil || !errors.As(err, &timeout) || !timeout.Timeout() {
+		return nil, errors.Join(errors.New("an answer, or the end, before the request"), err)
+	}
+	return text[n:], c.SetReadDeadline(time.Time{})
+}
+
 // outgoing is the request as it goes to the attempt's server.
 func outgoing(a *engine.Attempt) *http.Request {
 	m := a.Payload.(*message.Request)
--- a/internal/sender/http1/trust.go
+++ b/internal/sender/http1/trust.go
@@ -79,6 +79,16 @@
 	return true
 }
 
+// wary says that connections of that kind break often enough for a request that must not run twice to be written in
+// two parts, so that a break between them proves that it never ran.
+func (t *trust) wary(now time.Duration, kept bool) bool {
+	t.fade(now)
+	if kept {
+		return t.kept.rate() > unsafeRisk
+	}
+	return t.fresh.rate() > unsafeRisk || t.kept.rate() > unsafeRisk
+}
+
 // unsafe says that a request must not run twice, as far as its form tells: its method is not idempotent (RFC 9110,
 // section 9.2.2) and it has no key by which servers drop a repeat.
 func unsafe(m *message.Request) bool {
--- a/internal/sender/http1/trust_test.go
+++ b/internal/sender/http1/trust_test.go
@@ -71,6 +71,58 @@
 	})
 }
 
+// Where connections break, a request that must not run twice knocks first: what breaks before its head is whole
+// never ran, and goes over another connection within the same attempt.
+func TestKnock(t *testing.T) {
+	t.Parallel()
+	ran, n := make(chan string, 100), 0
+	lock := make(chan bool, 1)
+	lock <- true
+	addr := testkit.Listen(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := r.Peek(1); err != nil { // the first bytes of a request
+			return
+		}
+		<-lock
+		n++
+		drop := n%2 == 1
+		lock <- true
+		if drop {
+			c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			ran <- req.Method
+			io.WriteString(c, ok)
+		}
+	})
+	s, ep := newTestSender(100), newEndpoint(addr)
+	s.leastKnock = 200 * time.Millisecond // a slow machine gets more
+	for range 100 {
+		s.trust.saw(time.Since(s.start), true, true)
+		s.trust.saw(time.Since(s.start), false, true)
+	}
+	for i := range 10 {
+		res := send(t, s, ep, &message.Request{Method: "POST", URL: keyed().URL, Authority: "a", Body: []byte("x")})
+		if res.ending != hollyspur.Success && res.ending != hollyspur.Unreachable {
+			t.Fatalf("attempt %d: ending %d, though nothing can have run", i, res.ending)
+		}
+		if res.ending == hollyspur.Success {
+			res.reply.Release()
+			if got := testkit.Wait(t, ran); got != "POST" {
+				t.Fatalf("ran %s", got)
+			}
+		}
+	}
+	if len(ran) > 0 {
+		t.Errorf("%d requests ran more than once", len(ran))
+	}
+}
+
 // A server that drops every third kept connection as its next request comes: once that was seen, what must not
 // run twice does not end in such a reset, and connections do not pile up.
 func TestStaleConnections(t *testing.T) {
