--- a/policy.go
+++ b/policy.go
@@ -673,7 +673,8 @@
 	var small []*server
 	for _, s := range from {
 		switch {
-		case unfit[s] || s.calls >= limit(s) || !b.inScope(r, s) || tried(r, s) || r.among != nil && !r.among[s.ID]:
+		case unfit[s] || s.calls >= limit(s) || !b.inScope(r, s) || tried(r, s):
+		case r.among != nil && !r.among[s.ID]:
 		case b.warmEnough(s) && b.sizeEnough(s):
 			warm = append(warm, s)
 		case b.warmth(s) == 1:
