Read over: one name for each header, one override, one start for the asked drills

Need: the change had written some things twice. The picker protocol's names stood in envoyconf and in extproc/stream: envoyconf takes stream's. heeds looked for override_host as override does: it calls it. The number of fallbacks was told beside the facts that hold it. Drills extproc and extproc-chaos began with the same lines, and two functions read the mode: startAsked. The stand-in proxy kept a flag that nothing read.

Nothing that the platform's program links is touched.

--- a/cmd/cranegrade/proxyconfig.go
+++ b/cmd/cranegrade/proxyconfig.go
@@ -52,7 +52,7 @@
 	if strings.HasSuffix(p.Processor, ":0") {
 		return nil, errors.New("the processor's port is any free one: name it with -processor")
 	}
-	p.Facts, p.Streams, p.Spares = facts(plan), plan.ExtProc.Streams, facts(plan).Spares
+	p.Facts, p.Streams = facts(plan), plan.ExtProc.Streams
 	at, told := map[string]int{}, true
 	for _, pool := range plan.Pools {
 		for _, c := range pool.Settings.Classes {
--- a/cmd/drill/extproc.go
+++ b/cmd/drill/extproc.go
@@ -19,14 +19,6 @@
 	return fmt.Sprintf("default = %q\n[ext_proc]\nlisten = %q\n%s\n", g.name, listen, more) + poolText(g.name, g.registryText(), pool...)
 }
 
-// retriesOf is how often a proxy may try again.
-func retriesOf(mode envoyconf.Mode) int {
-	if mode == envoyconf.EveryTry || mode == envoyconf.Fallbacks {
-		return 2
-	}
-	return 0
-}
-
 // proxies starts proxies that ask the program.
 func (r *rig) proxies(n int, cfg proxy.Config) (l []*proxy.Proxy, err error) {
 	cfg.Processor, cfg.Classes = r.node.addr, allClasses
@@ -79,15 +71,34 @@
 	return r.drive(ctx, faults, send, streams)
 }
 
-// settings are what a mode of asking wants in [ext_proc] and in the pool.
-func settings(mode envoyconf.Mode) (ext, pool string) {
+// asked is a program that proxies ask in a mode, and the servers that it names.
+type asked struct {
+	g    *group
+	base proxy.Config // of a good proxy
+	ext  string       // keys of [ext_proc]
+	pool string       // and of the pool
+}
+
+// text is its file.
+func (a *asked) text(listen string) string { return extText(listen, a.ext, a.g, a.pool) }
+
+// startAsked starts servers and the program.
+func (r *rig) startAsked(host string, mode envoyconf.Mode, servers ...standin.ServerConfig) (*asked, error) {
+	a := &asked{base: proxy.Config{Mode: mode}}
 	switch mode {
 	case envoyconf.EveryTry:
-		return "retries = true\n", ""
+		a.ext, a.base.Retries = "retries = true\n", 2
 	case envoyconf.Fallbacks:
-		return "", "fallbacks = 2"
+		a.pool, a.base.Retries = "fallbacks = 2", 2
+	}
+	var err error
+	if a.g, err = r.group("ext", host, servers...); err != nil {
+		return nil, err
+	}
+	if err := r.start(a.text("127.0.0.1:0")); err != nil {
+		return nil, err
 	}
-	return "", ""
+	return a, r.settle(a.g)
 }
 
 // extproc has three proxies ask for each request; in the middle a rolling deploy replaces 77 % of the
@@ -102,18 +113,12 @@
 	for i := range cfgs {
 		cfgs[i] = inCell(usual, i%4)
 	}
-	g, err := r.group("ext", host, cfgs...)
+	a, err := r.startAsked(host, mode, cfgs...)
 	if err != nil {
 		return err
 	}
-	ext, more := settings(mode)
-	if err := r.start(extText("127.0.0.1:0", ext, g, more)); err != nil {
-		return err
-	}
-	if err := r.settle(g); err != nil {
-		return err
-	}
-	l, err := r.proxies(3, proxy.Config{Mode: mode, Retries: retriesOf(mode)})
+	g := a.g
+	l, err := r.proxies(3, a.base)
 	if err != nil {
 		return err
 	}
@@ -163,29 +168,26 @@
 
 func (r *rig) extprocChaos(ctx context.Context, mode envoyconf.Mode) error {
 	const host = "ext.example.org"
-	g, err := r.group("ext", host, inCell(usual, 1), inCell(usual, 1), inCell(usual, 2), inCell(usual, 2), inCell(usual, 2))
+	a, err := r.startAsked(host, mode, inCell(usual, 1), inCell(usual, 1), inCell(usual, 2), inCell(usual, 2), inCell(usual, 2))
 	if err != nil {
 		return err
 	}
-	ext, more := settings(mode)
-	if err := r.start(extText("127.0.0.1:0", ext, g, more)); err != nil {
-		return err
-	}
-	if err := r.settle(g); err != nil {
-		return err
-	}
-	good, err := r.proxies(2, proxy.Config{Mode: mode, Retries: retriesOf(mode)})
+	g := a.g
+	good, err := r.proxies(2, a.base)
 	if err != nil {
 		return err
 	}
 	var n int
 	var mu sync.Mutex
-	dropping, err := r.proxies(2, proxy.Config{Mode: mode, Retries: retriesOf(mode), Greedy: mode == envoyconf.EveryTry, Drop: func() bool {
+	careless := a.base
+	careless.Greedy = mode == envoyconf.EveryTry
+	careless.Drop = func() bool {
 		mu.Lock()
 		defer mu.Unlock()
 		n++
 		return n%3 == 0
-	}})
+	}
+	dropping, err := r.proxies(2, careless)
 	if err != nil {
 		return err
 	}
@@ -208,7 +210,7 @@
 			r.node.mu.Unlock()
 			r.node.cmd.Process.Signal(syscall.SIGKILL)
 			<-r.node.ended
-			again, err := r.again(extText(r.node.addr, ext, g, more))
+			again, err := r.again(a.text(r.node.addr))
 			if err != nil {
 				r.failf("starting the processor again: %v", err)
 				return
--- a/internal/envoyconf/build.go
+++ b/internal/envoyconf/build.go
@@ -7,6 +7,8 @@
 	"strings"
 	"text/template"
 	"time"
+
+	"hollyspur/internal/extproc/stream"
 )
 
 // Mode is a way for a proxy to ask.
@@ -31,7 +33,6 @@
 
 // Names that Build uses.
 const (
-	ServedHeader  = Header + "-served"
 	everyTry      = "every-try" // the internal listener, and the cluster that leads to it
 	ownTimeHeader = "x-time-left"
 )
@@ -51,7 +52,6 @@
 	Facts     Facts
 	Classes   []Class
 	Retries   int           // further tries of a request, in the modes that have any: 2
-	Spares    int           // servers that the processor names beside the chosen one (fallbacks of a pool)
 	Endpoints []string      // that the proxy knows, in the modes that need it; nil: by EDS over ADS
 	Streams   int64         // questions that may be open at once; 0: the proxy's own default
 	Connect   time.Duration // connect time-out: 250 ms
@@ -75,10 +75,10 @@
 	if p.Mode == EveryTry && p.Facts.RetryHeader == "" {
 		return nil, fmt.Errorf("mode %s needs a retry_header in the processor's file", p.Mode)
 	}
-	if p.Mode != Fallbacks && p.Spares > 0 {
-		return nil, fmt.Errorf("a pool of the processor's file has fallbacks = %d, which is for mode %s: elsewhere a list of servers is no address", p.Spares, Fallbacks)
+	if p.Mode != Fallbacks && p.Facts.Spares > 0 {
+		return nil, fmt.Errorf("a pool of the processor's file has fallbacks = %d, which is for mode %s: elsewhere a list of servers is no address", p.Facts.Spares, Fallbacks)
 	}
-	if p.Mode == Fallbacks && p.Spares == 0 {
+	if p.Mode == Fallbacks && p.Facts.Spares == 0 {
 		return nil, fmt.Errorf("mode %s needs fallbacks = N in a pool of the processor's file: without it the list has one server", p.Mode)
 	}
 	if p.Listen == "" {
@@ -88,14 +88,14 @@
 		p.Retries = 2
 	}
 	if p.Mode == Fallbacks {
-		p.Retries = min(p.Retries, p.Spares) // past the list a host would be nobody's decision
+		p.Retries = min(p.Retries, p.Facts.Spares) // past the list a host would be nobody's decision
 	}
 	if p.Connect == 0 {
 		p.Connect = 250 * time.Millisecond
 	}
 	slices.SortFunc(p.Classes, func(a, b Class) int { return strings.Compare(a.Name, b.Name) })
 	v := view{Proxy: p, Every: p.Mode == EveryTry, List: p.Mode == Fallbacks, Override: p.Mode == ByMetadata || p.Mode == Fallbacks,
-		Header: Header, Served: ServedHeader, Namespace: Namespace, Inner: everyTry, OwnTime: ownTimeHeader}
+		Header: Header, Served: stream.ServedHeader, Subset: stream.SubsetHeader, Namespace: Namespace, Inner: everyTry, OwnTime: ownTimeHeader}
 	for _, c := range p.Classes {
 		v.Longest = max(v.Longest, c.Deadline)
 	}
@@ -109,9 +109,9 @@
 // view is what the template sees.
 type view struct {
 	Proxy
-	Every, List, Override                     bool
-	Longest                                   time.Duration
-	Header, Served, Namespace, Inner, OwnTime string
+	Every, List, Override                             bool
+	Longest                                           time.Duration
+	Header, Served, Subset, Namespace, Inner, OwnTime string
 }
 
 // Wait is the proxy's message_timeout: a little longer than the processor takes.
@@ -192,7 +192,7 @@
                 internal_address_config: { unix_sockets: false } # whichever network they come from
                 route_config:
                   # Taken off callers' requests before any filter runs: they have no say in these.
-                  internal_only_headers: ["{{.Header}}", "{{.Header}}-subset", "{{.OwnTime}}"]
+                  internal_only_headers: ["{{.Header}}", "{{.Subset}}", "{{.OwnTime}}"]
                   virtual_hosts:
                     - name: all
                       domains: ["*"]
--- a/internal/envoyconf/check.go
+++ b/internal/envoyconf/check.go
@@ -24,12 +24,14 @@
 	httpv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/upstreams/http/v3"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
+
+	"hollyspur/internal/extproc/stream"
 )
 
 // What the processor answers with, by the endpoint picker's conventions.
 const (
-	Header    = "x-gateway-destination-endpoint"
-	Namespace = "envoy.lb"
+	Header    = stream.DestinationHeader
+	Namespace = stream.MetadataNamespace
 )
 
 // Facts are what the processor's own file says.
@@ -288,7 +290,8 @@
 		again := false
 		for j, r := range vh.GetRoutes() {
 			c.route(fmt.Sprintf("%s.routes[%d]", host, j), r, filter)
-			again = again || r.GetRoute().GetRetryPolicy().GetRetryOn() != "" && override(c.clusters[r.GetRoute().GetCluster()]) != nil
+			o, _ := override(c.clusters[r.GetRoute().GetCluster()])
+			again = again || r.GetRoute().GetRetryPolicy().GetRetryOn() != "" && o != nil
 		}
 		if again && !vh.GetIncludeAttemptCountInResponse() {
 			c.add(host+".include_attempt_count_in_response", "the processor is not told that a fallback was tried, so it takes the last try's word for all of them",
@@ -390,25 +393,22 @@
 		}
 		return
 	}
-	for i, p := range cl.GetLoadBalancingPolicy().GetPolicies() {
-		o := &overridev3.OverrideHost{}
-		if !as(p.GetTypedExtensionConfig().GetTypedConfig(), o) {
-			continue
-		}
-		at := fmt.Sprintf("%s.load_balancing_policy.policies[%d]", path, i)
-		ok := false
-		for j, s := range o.GetOverrideHostSources() {
-			ok = ok || strings.EqualFold(s.GetHeader(), Header) || s.GetMetadata() != nil
-			if k := s.GetMetadata(); k != nil {
-				c.metadata(fmt.Sprintf("%s.override_host_sources[%d].metadata", at, j), k.GetKey(), f)
-			}
-		}
-		if !ok {
-			c.add(at+".override_host_sources", "none of them is what the processor sets", "name the header "+Header)
-		}
+	o, i := override(cl)
+	if o == nil {
+		c.add(path, "its own balancer chooses the host, whatever the processor says", mend)
 		return
 	}
-	c.add(path, "its own balancer chooses the host, whatever the processor says", mend)
+	at := fmt.Sprintf("%s.load_balancing_policy.policies[%d]", path, i)
+	ok := false
+	for j, s := range o.GetOverrideHostSources() {
+		ok = ok || strings.EqualFold(s.GetHeader(), Header) || s.GetMetadata() != nil
+		if k := s.GetMetadata(); k != nil {
+			c.metadata(fmt.Sprintf("%s.override_host_sources[%d].metadata", at, j), k.GetKey(), f)
+		}
+	}
+	if !ok {
+		c.add(at+".override_host_sources", "none of them is what the processor sets", "name the header "+Header)
+	}
 }
 
 func (c *checker) metadata(path, namespace string, f *extprocv3.ExternalProcessor) {
@@ -426,7 +426,7 @@
 	if p == nil || p.GetRetryOn() == "" {
 		return
 	}
-	o := override(cl)
+	o, _ := override(cl)
 	if o == nil {
 		c.add(path, "the proxy tries again without asking, also what must not run twice, and on top of what the module counts",
 			"take it out; or go down the processor's list (proxy-config -mode fallbacks), or be asked for every try (-mode every-try)")
@@ -442,15 +442,15 @@
 	}
 }
 
-// override is a cluster's policy override_host; nil: it has another.
-func override(cl *clusterv3.Cluster) *overridev3.OverrideHost {
-	for _, p := range cl.GetLoadBalancingPolicy().GetPolicies() {
+// override is a cluster's policy override_host, and which of its policies that is; nil: it has none.
+func override(cl *clusterv3.Cluster) (*overridev3.OverrideHost, int) {
+	for i, p := range cl.GetLoadBalancingPolicy().GetPolicies() {
 		o := &overridev3.OverrideHost{}
 		if as(p.GetTypedExtensionConfig().GetTypedConfig(), o) {
-			return o
+			return o, i
 		}
 	}
-	return nil
+	return nil, 0
 }
 
 // ends says that without a host that the processor named there is none.
--- a/internal/envoyconf/check_test.go
+++ b/internal/envoyconf/check_test.go
@@ -134,7 +134,7 @@
 
 func build(t testing.TB, m Mode) string {
 	t.Helper()
-	text, err := Build(Proxy{Mode: m, Processor: "127.0.0.1:9002", Facts: facts[m], Spares: facts[m].Spares, Retries: 2, Streams: 100,
+	text, err := Build(Proxy{Mode: m, Processor: "127.0.0.1:9002", Facts: facts[m], Retries: 2, Streams: 100,
 		Endpoints: []string{"127.0.0.1:1", "127.0.0.1:2"}, Classes: []Class{{"read", 2 * time.Second, true}, {"order", 6 * time.Second, false}}})
 	if err != nil {
 		t.Fatal(err)
@@ -154,7 +154,7 @@
 		"retries beside":        {Mode: ByHeader, Processor: "a:1", Facts: facts[EveryTry]},
 		"no retries":            {Mode: EveryTry, Processor: "a:1", Facts: asked},
 		"no header":             {Mode: EveryTry, Processor: "a:1", Facts: Facts{Retries: true}},
-		"a list by header":      {Mode: ByHeader, Processor: "a:1", Facts: asked, Spares: 2},
+		"a list by header":      {Mode: ByHeader, Processor: "a:1", Facts: Facts{DecideWithin: asked.DecideWithin, Spares: 2}},
 		"a list of one":         {Mode: Fallbacks, Processor: "a:1", Facts: asked},
 		"no processor":          {Mode: ByHeader, Facts: asked},
 		"an address that isn't": {Mode: ByHeader, Listen: "x", Processor: "a:1", Facts: asked},
--- a/internal/standin/proxy/compile.go
+++ b/internal/standin/proxy/compile.go
@@ -89,7 +89,7 @@
 	}
 	m := &manager{p: p, internal: l.GetInternalListener() != nil, remote: h.GetUseRemoteAddress().GetValue(),
 		preserve: h.GetPreserveExternalRequestId(), ids: h.GetGenerateRequestId() == nil || h.GetGenerateRequestId().GetValue(),
-		trusts: h.GetInternalAddressConfig() == nil, hosts: h.GetRouteConfig().GetVirtualHosts()}
+		hosts: h.GetRouteConfig().GetVirtualHosts()}
 	for _, x := range h.GetRouteConfig().GetInternalOnlyHeaders() {
 		m.only = append(m.only, strings.ToLower(x))
 	}
@@ -242,7 +242,7 @@
 	return k.GetKey(), name
 }
 
-// options are headers to add, with the values that are modelled: text, %REQ(NAME)% and %UPSTREAM_REMOTE_ADDRESS%.
+// format is the value of a header to add, of those that are modelled: text, %REQ(NAME)% and %UPSTREAM_REMOTE_ADDRESS%.
 func format(o *corev3.HeaderValueOption, req header, host string) string {
 	v := o.GetHeader().GetValue()
 	if host == "" {
--- a/internal/standin/proxy/layers.go
+++ b/internal/standin/proxy/layers.go
@@ -96,7 +96,6 @@
 	remote   bool // use_remote_address
 	preserve bool // preserve_external_request_id
 	ids      bool // generate_request_id
-	trusts   bool // takes loopback and private networks for internal (no internal_address_config)
 	only     []string
 	hosts    []*routev3.VirtualHost
 	filters  []*asker
--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -106,10 +106,10 @@
 			p.Mode = envoyconf.EveryTry
 		}
 	}
+	p.Facts = envoyconf.Facts{DecideWithin: c.Timeout - 50*time.Millisecond, Retries: p.Mode == envoyconf.EveryTry, RetryHeader: RetryHeader}
 	if p.Mode == envoyconf.Fallbacks {
-		p.Spares = c.Retries
+		p.Facts.Spares = c.Retries
 	}
-	p.Facts = envoyconf.Facts{DecideWithin: c.Timeout - 50*time.Millisecond, Retries: p.Mode == envoyconf.EveryTry, RetryHeader: RetryHeader, Spares: p.Spares}
 	longest := 5 * time.Second
 	for _, k := range c.Classes {
 		p.Classes = append(p.Classes, envoyconf.Class{Name: k.Name, Deadline: k.Deadline, Safe: k.Effect == standin.Safe})
