Drill overload-tenants finds a request that is run twice when that is planted

Seen: planted with twice the drill ended with an error of the rig and not with the breach, for all its requests were safe to repeat. Planted, it sends a few that are not; else it plays as before.

--- a/cmd/drill/tenants.go
+++ b/cmd/drill/tenants.go
@@ -51,6 +51,9 @@
 		}
 		streams = append(streams, standin.Stream{Name: c.name + "/flood", Host: g.host, Class: readClass, Account: "flood", Rate: 0.1 * capacity})
 	}
+	if r.plant != "" { // what must not run twice, for the breach that runs it twice
+		streams = append(streams, standin.Stream{Name: "order", Host: r.groups[0].host, Class: orderClass, Rate: 10, Body: 100})
+	}
 	if err := r.start(file + routes); err != nil {
 		return err
 	}
