Operators' port: check, servers taken out by hand, clients sent away

Design: orders are a value of their own (internal/orders: merge, latest word wins), laid over the list in the engine where a server's state goes to the module (draining) and, at the moment of writing, into Endpoint.Usable, which takes no lock. So retries, second copies, probes and kept connections need no further rule. Rejected: a ban as an entry of the list, which the next news of discovery would undo; a yes that waits for the engine's queue, which under load may take over a second. A server called back counts as started just then unless the list tells of a start since the ban: it may have been restarted, and the list says so seconds late.

--- a/hollyspur.go
+++ b/hollyspur.go
@@ -193,6 +193,7 @@
 	ServerList struct {
 		Full    bool
 		Cached  bool // last held before a restart, possibly out of date
+		Ordered bool // an operator's word, not discovery's, which has not been heard by it
 		Servers []Server
 	}
 	// ListFailed says that a Subscribe failed or that the subscription broke. Garbled: discovery is there and
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -50,6 +50,8 @@
 	ID, Addr string
 	boot     time.Duration
 	usable   atomic.Bool // ready by our list; cleared when it drains or is gone
+	orders   Orders      // nil: none
+	listed   Listed      // as the list has it; owned by the engine's goroutine
 }
 
 // NewEndpoint returns an endpoint that is usable, for senders' own tests and tools.
@@ -59,8 +61,10 @@
 	return ep
 }
 
-// Usable says that the list names the endpoint ready.
-func (ep *Endpoint) Usable() bool { return ep.usable.Load() }
+// Usable says that the list names the endpoint ready, and that it is not taken out by hand.
+func (ep *Endpoint) Usable() bool {
+	return ep.usable.Load() && (ep.orders == nil || !ep.orders.Out(ep.ID))
+}
 
 // SetUsable is the engine's, and that of senders' tests.
 func (ep *Endpoint) SetUsable(is bool) { ep.usable.Store(is) }
@@ -104,7 +108,7 @@
 		return ending, false
 	}
 	if !a.Endpoint.Usable() {
-		// It was named draining or gone while the connection came up.
+		// It was named draining or gone, or taken out, while the connection came up.
 		return hollyspur.Unreachable, false
 	}
 	return 0, true
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -54,6 +54,19 @@
 	MaxAttempts int    // of a call; 0: no limit but the module's
 	Pushed      bool   // the list comes unasked: it is followed without a Subscribe
 	Held        Room   // calls that wait for an endpoint; nil: no limit
+	Orders      Orders // what operators have taken out by hand; nil: nothing ever
+}
+
+// Orders are what operators have taken out by hand. They lie over the list: a server that is out drains, whatever
+// the list says of it. Its methods are called from many goroutines and never wait.
+type Orders interface {
+	// Out says that a server is taken out. It binds attempts from the moment that it says so.
+	Out(id string) bool
+	// Boot is when a server is to be taken to have started, where the list says boot.
+	Boot(id string, boot time.Duration) time.Duration
+	// Entered hears of a server that is listed from now on, and Left of one that no longer is; in turn for each id.
+	Entered(id string)
+	Left(id string)
 }
 
 // Engine owns a module. Its exported methods may be called from any goroutine.
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -51,19 +51,45 @@
 // apply takes news of the servers: first to what the I/O may use, then to the module.
 func (e *Engine) apply(n News) {
 	e.version, e.drop = n.Version, n.Drop
+	e.merge(n, false)
+}
+
+// Ordered has what operators ordered of a server take effect in the module, too. It returns at once.
+func (e *Engine) Ordered(id string) {
+	// Not from the caller's goroutine: operators are answered in time, however long the queue of events is.
+	go e.Do(func() {
+		if ep := e.endpoints[id]; ep != nil {
+			e.merge(News{Servers: []Listed{ep.listed}}, true)
+		}
+	})
+}
+
+// merge takes over entries with the operators' orders laid over them; ordered: nothing new came from the source.
+func (e *Engine) merge(n News, ordered bool) {
 	listed := make(map[string]bool, len(n.Servers))
-	list := hollyspur.ServerList{Full: n.Full, Cached: n.Cached, Servers: make([]hollyspur.Server, 0, len(n.Servers))}
+	list := hollyspur.ServerList{Full: n.Full, Cached: n.Cached, Ordered: ordered, Servers: make([]hollyspur.Server, 0, len(n.Servers))}
 	for _, s := range n.Servers {
+		told := s
+		if e.cfg.Orders != nil {
+			s.Boot = e.cfg.Orders.Boot(s.ID, s.Boot)
+			if s.State == hollyspur.Ready && e.cfg.Orders.Out(s.ID) {
+				s.State = hollyspur.Draining
+			}
+		}
 		list.Servers = append(list.Servers, s.Server)
 		listed[s.ID] = s.State != hollyspur.Gone
 		ep := e.endpoints[s.ID]
 		if ep == nil || ep.Addr != s.Addr || ep.boot != s.Boot {
 			// Connections to an earlier process or address are of no use.
 			e.remove(s.ID)
-			ep = &Endpoint{ID: s.ID, Addr: s.Addr, boot: s.Boot}
+			ep = &Endpoint{ID: s.ID, Addr: s.Addr, boot: s.Boot, orders: e.cfg.Orders}
 			e.endpoints[s.ID] = ep
 			e.byAddr[s.Addr] = s.ID
+			if e.cfg.Orders != nil {
+				e.cfg.Orders.Entered(s.ID)
+			}
 		}
+		ep.listed = told
 		ep.usable.Store(s.State == hollyspur.Ready)
 		if s.State != hollyspur.Ready {
 			e.cfg.Sender.Drop(ep)
@@ -87,6 +113,9 @@
 		ep.usable.Store(false)
 		e.cfg.Sender.Drop(ep)
 		delete(e.endpoints, id)
+		if e.cfg.Orders != nil {
+			e.cfg.Orders.Left(id)
+		}
 		if e.byAddr[ep.Addr] == id { // else a newer one has the address
 			delete(e.byAddr, ep.Addr)
 		}
--- a/internal/front/http1/callers.go
+++ b/internal/front/http1/callers.go
@@ -25,6 +25,7 @@
 	mu    sync.Mutex                 // guards all below, and what is said of callers
 	quiet map[*pool.Share]*list.List // of *caller: those with no request that was taken, the longest so first
 	room  chan struct{}              // holds a token when a connection may have become free to close
+	count atomic.Int64               // connections that are open
 }
 
 // caller is a caller's connection.
@@ -35,6 +36,7 @@
 	place  *list.Element // in of.quiet of share, or nil
 	since  time.Time     // quiet since
 	closed bool
+	used   bool         // a request came on it before
 	began  atomic.Int64 // Unix time in ns of the first byte of the request that is coming; 0: none is
 }
 
@@ -76,6 +78,7 @@
 		}
 		l.mu.Lock()
 	}
+	l.count.Add(1)
 	c := &caller{Conn: nc, of: l, share: l.fresh}
 	c.settle()
 	return c, nil
@@ -130,6 +133,7 @@
 		return net.ErrClosed
 	}
 	c.closed = true
+	c.of.count.Add(-1)
 	c.leave()
 	c.share.Give(1)
 	c.of.hasRoom()
@@ -166,6 +170,31 @@
 	return true
 }
 
+// fresher is how long a connection may say nothing before it is closed while callers are led away: its first request
+// may be on the way, which a close would only send to another.
+const fresher = time.Second
+
+// leadAway closes the connections on which no request is and none is coming.
+func (l *callers) leadAway() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var away []*caller
+	for _, quiet := range l.quiet {
+		for e := quiet.Front(); e != nil; e = e.Next() {
+			c := e.Value.(*caller)
+			if c.began.Load() == 0 && (c.used || time.Since(c.since) > fresher) && peek.At(c.Conn) != nil {
+				away = append(away, c)
+			}
+		}
+	}
+	for _, c := range away {
+		c.close()
+	}
+}
+
+// open is how many connections there are that nothing has closed.
+func (l *callers) open() int { return int(l.count.Load()) }
+
 func (l *callers) hasRoom() {
 	select {
 	case l.room <- struct{}{}:
@@ -209,6 +238,7 @@
 	c.of.mu.Lock()
 	defer c.of.mu.Unlock()
 	c.began.Store(0)
+	c.used = true
 	if !c.closed {
 		c.leave()
 		c.settle()
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -66,6 +66,8 @@
 	routes  Routes
 	callers *callers
 	server  *http.Server
+	leading atomic.Bool // callers are led away
+	unready atomic.Bool // and told so when they ask
 }
 
 // New returns a front that accepts callers from l once Serve is called. Callers' connections are held
@@ -118,6 +120,30 @@
 // Serve serves until Shutdown, and then returns http.ErrServerClosed.
 func (f *Front) Serve() error { return f.server.Serve(f.callers) }
 
+// LeadAway has callers go elsewhere, or lets them stay again: answers end their connections, and idle ones are closed
+// by LeadIdle. Whatever comes is served all the same.
+func (f *Front) LeadAway(on bool) { f.leading.Store(on) }
+
+// Unready has GET /health/ready answered with 503, or with 200 again.
+func (f *Front) Unready(on bool) { f.unready.Store(on) }
+
+// LeadIdle closes, while callers are led away, connections on which nothing is under way.
+func (f *Front) LeadIdle() {
+	if f.leading.Load() {
+		f.callers.leadAway()
+	}
+}
+
+// Open is how many connections of callers there are.
+func (f *Front) Open() int { return f.callers.open() }
+
+// lead ends the connection with the answer, if callers are led away. HTTP/2 says it with GOAWAY.
+func (f *Front) lead(w http.ResponseWriter) {
+	if f.leading.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // Shutdown accepts nothing more and waits until every request taken is answered, or ctx ends.
 func (f *Front) Shutdown(ctx context.Context) error { return f.server.Shutdown(ctx) }
 
@@ -157,7 +183,11 @@
 // ServeHTTP answers one request. It is no ServeMux, which would redirect paths that it cleans.
 func (f *Front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	if hr.Method == http.MethodGet && hr.URL.Path == "/health/ready" && bodiless(hr) {
-		return // 200: the front listens only once requests can be handled
+		f.lead(w)
+		if f.unready.Load() {
+			http.Error(w, "clients are sent away", http.StatusServiceUnavailable)
+		}
+		return // else 200: the front listens only once requests can be handled
 	}
 	if f.Dialect != nil && f.Dialect.Speaks(hr) {
 		f.Dialect.Serve(f, w, hr)
@@ -183,6 +213,7 @@
 			http.NewResponseController(w).SetReadDeadline(time.Now().Add(drain))
 			w.Header().Set("Connection", "close")
 		}
+		f.lead(w)
 		http.Error(w, err.Text, err.Status)
 		return
 	}
@@ -192,6 +223,7 @@
 	p.Engine().Submit(&c.Call)
 	select {
 	case a := <-c.answers:
+		f.lead(w)
 		write(w, a)
 	case <-hr.Context().Done():
 		p.Engine().Gone(&c.Call)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -25,6 +25,8 @@
 	Known     registry.List // the servers as this node last had them
 	Settings  hollyspur.Settings
 	Conns     wire.Connections
+	Operator  string // host:port where operators call; "": nowhere
+	State     string // directory for what a successor of this process is to find; "": none
 }
 
 // Used where the configuration does not tell.
@@ -44,6 +46,16 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
+	if c.Operator == "" {
+		c.Operator = os.Getenv("ROUTER_OPERATOR")
+	}
+	if c.Operator == "" {
+		return c, nil // all as before: nobody hands anything over
+	}
+	if _, _, err := net.SplitHostPort(c.Operator); err != nil {
+		return Config{}, fmt.Errorf("%s: operator: %q is no host:port", path, c.Operator)
+	}
+	c.State = os.Getenv("TMPDIR")
 	return c, nil
 }
 
@@ -52,6 +64,7 @@
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		Operator  string `json:"operator"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			Cores    float64 `json:"cores"`
@@ -64,7 +77,7 @@
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return Config{}, err
 	}
-	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery,
+	c := Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Operator: raw.Operator,
 		Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB, Sockets: raw.Limits.Sockets}
 	var err error
 	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"hollyspur/internal/engine"
 	front "hollyspur/internal/front/http1"
 	"hollyspur/internal/operator"
+	"hollyspur/internal/opsport"
 	"hollyspur/internal/pool"
 	"hollyspur/internal/route"
 	sender "hollyspur/internal/sender/http1"
@@ -37,6 +38,9 @@
 	fronts  []Front
 	serving atomic.Pointer[serving]
 	linger  time.Duration // how long a stopping node goes on as before
+	desk    *desk
+	port    *opsport.Port // nil: operators can't call
+	ready   atomic.Bool   // clients are taken
 
 	stopping atomic.Bool
 	patience atomic.Int64 // ns that callers may wait for what a stopping node has taken
@@ -120,7 +124,8 @@
 
 // newNode takes a module of a test's own for every pool, unless that is nil.
 func newNode(plan operator.Plan, o Options, m engine.Module) (_ *Node, err error) {
-	n := &Node{options: o, clock: engine.NewClock(), retiring: map[*pool.Pool]struct{}{}, stopped: make(chan struct{}),
+	clock := engine.NewClock()
+	n := &Node{options: o, clock: clock, desk: newDesk(clock), retiring: map[*pool.Pool]struct{}{}, stopped: make(chan struct{}),
 		budgets: budgets{pool.NewBudget(0), pool.NewBudget(0), pool.NewBudget(0), pool.NewBudget(0),
 			pool.NewBudget(0), pool.NewBudget(0)}}
 	n.fresh = n.budgets.callers.NewShare()
@@ -174,6 +179,13 @@
 		}
 		n.fronts = append(n.fronts, o.ExtProc(l, *plan.ExtProc, n.clock, n))
 	}
+	n.desk.change = n.ordered
+	if plan.Operator != "" {
+		n.port, err = opsport.New(plan.Operator, func(c opsport.Call) (string, error) { return n.desk.call(c, n.ready.Load) })
+		if err != nil {
+			return nil, fmt.Errorf("operator: %w", err)
+		}
+	}
 	if plan.Admin != "" {
 		if n.admin, err = newAdmin(n, plan.Admin); err != nil {
 			return nil, err
@@ -222,7 +234,7 @@
 	}
 	p, err := pool.New(pool.Config{Name: pp.Name, Settings: pp.Settings, Seed: seed(pp), Clock: n.clock,
 		Sender: to,
-		Source: n.source(pp.List, x), Known: pp.Known, Pushed: pp.Pushed, Shares: shares, Module: m, GRPC: pp.GRPC})
+		Source: n.source(pp.List, x), Known: pp.Known, Pushed: pp.Pushed, Shares: shares, Module: m, GRPC: pp.GRPC, Orders: n.desk})
 	if err != nil {
 		return nil, fmt.Errorf("pool %q: %w", pp.Name, err)
 	}
@@ -319,9 +331,13 @@
 	if n.admin != nil {
 		go n.admin.serve()
 	}
+	if n.port != nil {
+		go n.port.Serve()
+	}
 	for _, f := range n.fronts {
 		go func() { served <- f.Serve() }()
 	}
+	n.ready.Store(true)
 	relieve := time.NewTicker(relieveEvery)
 	defer relieve.Stop()
 	for running := true; running; {
@@ -330,6 +346,7 @@
 			return fmt.Errorf("serving callers: %w", err)
 		case <-relieve.C:
 			n.relieve()
+			n.leadIdle()
 		case <-ctx.Done():
 			running = false
 		}
@@ -356,6 +373,42 @@
 	return nil
 }
 
+// leads are fronts whose callers can be sent elsewhere.
+type leads interface {
+	LeadAway(on bool)
+	LeadIdle()
+	Unready(on bool)
+}
+
+// ordered has operators' orders take effect: those for some servers, and the drain.
+func (n *Node) ordered(servers []string) {
+	draining := n.desk.draining()
+	for _, f := range n.fronts {
+		if l, can := f.(leads); can {
+			l.Unready(draining)
+			l.LeadAway(draining)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, id := range servers {
+		for _, p := range n.serving.Load().pools {
+			p.Engine().Ordered(id)
+		}
+		for p := range n.retiring {
+			p.Engine().Ordered(id)
+		}
+	}
+}
+
+func (n *Node) leadIdle() {
+	for _, f := range n.fronts {
+		if l, can := f.(leads); can {
+			l.LeadIdle()
+		}
+	}
+}
+
 // relieve has pools close idle connections that others want for.
 func (n *Node) relieve() {
 	if s := n.serving.Load(); len(s.pools) > 1 {
@@ -398,6 +451,9 @@
 	if n.admin != nil {
 		n.admin.close()
 	}
+	if n.port != nil {
+		n.port.Close()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.xds != nil {
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -9,6 +9,7 @@
 	"hollyspur/internal/engine"
 	front "hollyspur/internal/front/http1"
 	"hollyspur/internal/operator"
+	"hollyspur/internal/opsport"
 	"hollyspur/internal/pool"
 	"hollyspur/internal/route"
 	"hollyspur/internal/source/registry"
@@ -20,11 +21,20 @@
 	known := c.Known.News()
 	known.Cached = true
 	return operator.Plan{Name: c.Name, Listen: []string{c.Listen}, Cores: c.Cores, MemoryMB: c.MemoryMB,
-		Totals: operator.TotalsFor(c.Sockets, c.MemoryMB, 0),
+		Operator: c.Operator, State: c.State,
+		Totals: operator.TotalsFor(c.Sockets, c.MemoryMB, operatorsDescriptors(c.Operator)),
 		Pools: []operator.Pool{{Settings: c.Settings, Conns: c.Conns, Seed: c.Seed, Known: known,
 			Pushed: !c.Settings.AskDiscovery, List: operator.List{Registry: c.Discovery}}}}
 }
 
+// operatorsDescriptors are set aside for operators' calls and a successor.
+func operatorsDescriptors(addr string) int {
+	if addr == "" {
+		return 0
+	}
+	return opsport.Callers + 8
+}
+
 // source opens where a pool's list comes from.
 func (n *Node) source(l operator.List, x XDSClient) engine.Source {
 	switch {
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -26,6 +26,8 @@
 	ExtProc  *ExtProc     // nil: no proxies ask
 	Admin    string       // host:port on loopback where the node tells what it holds; "": nowhere
 	Zones    *Zones       // nil: zones are not told apart
+	Operator string       // host:port where operators call; "": nowhere
+	State    string       // directory for what a successor of this process is to find; "": none
 }
 
 // Zones says where the load of a zone goes (docs/zones.md).
--- /dev/null
+++ b/internal/opsport/port_test.go
@@ -0,0 +1,136 @@
+package opsport
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"hollyspur/internal/testkit"
+)
+
+func TestParse(t *testing.T) {
+	for line, want := range map[string]Call{"check": {Verb: Check}, " set-down  s-1 ": {SetDown, "s-1"}, "set-up\ts-1": {SetUp, "s-1"},
+		"drain-on": {Verb: DrainOn}, "drain-off": {Verb: DrainOff}} {
+		if c, err := Parse(line); err != nil || c != want {
+			t.Errorf("%q: %+v, %v", line, c, err)
+		}
+	}
+	for _, line := range []string{"", "  ", "chec", "CHECK", "check now", "set-down", "set-up a b", "set-down \x00", "drain-on s", strings.Repeat("x", MaxLine+1)} {
+		if c, err := Parse(line); err == nil {
+			t.Errorf("%q: %+v", line, c)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"check", "set-down s", "set-up \xff", "drain-on x", "\x00"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		c, err := Parse(s)
+		if err != nil {
+			if strings.ContainsAny(err.Error(), "\r\n") {
+				t.Fatalf("the answer to %q is no line: %q", s, err)
+			}
+			return
+		}
+		if again, err := Parse(string(c.Verb) + " " + c.ID); err != nil || again != c {
+			t.Fatalf("%q: %+v, then %+v, %v", s, c, again, err)
+		}
+	})
+}
+
+func start(t *testing.T, h Handler) *Port {
+	t.Helper()
+	p, err := New("127.0.0.1:0", h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go p.Serve()
+	t.Cleanup(p.Close)
+	return p
+}
+
+func dial(t *testing.T, p *Port) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", p.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(testkit.Limit))
+	return c
+}
+
+func echo(c Call) (string, error) {
+	if c.ID == "no" {
+		return "", errors.New("none such")
+	}
+	return string(c.Verb) + c.ID, nil
+}
+
+func TestPort(t *testing.T) {
+	t.Parallel()
+	p := start(t, echo)
+	for text, want := range map[string]string{"check\n": "200 check\n", "set-down s\r\n": "200 set-downs\n", "set-up no\n": "400 none such\n",
+		"what\n": "400 ", "check\ncheck\n": "200 check\n", "\n": "400 ", "\x00\n": "400 ", strings.Repeat("x", 5*MaxLine): "400 "} {
+		c := dial(t, p)
+		go io.WriteString(c, text)
+		answer, err := io.ReadAll(c)
+		if err != nil || !strings.HasPrefix(string(answer), want) || strings.Count(string(answer), "\n") != 1 {
+			t.Errorf("%.20q: %q, %v", text, answer, err)
+		}
+	}
+	c := dial(t, p)
+	for _, b := range []byte("check\r\n") {
+		c.Write([]byte{b})
+	}
+	if s, err := bufio.NewReader(c).ReadString('\n'); err != nil || s != "200 check\n" {
+		t.Errorf("byte by byte: %q, %v", s, err)
+	}
+	half := dial(t, p)
+	io.WriteString(half, "drain-on")
+	half.(*net.TCPConn).CloseWrite()
+	if s, err := io.ReadAll(half); err != nil || len(s) > 0 {
+		t.Errorf("half a call: %q, %v", s, err)
+	}
+}
+
+// Callers that say nothing, or half a call, make room for one that does, the longest silent first; one whose call is
+// being carried out is not closed.
+func TestSilentCallers(t *testing.T) {
+	t.Parallel()
+	began, release := make(chan struct{}), make(chan struct{})
+	p := start(t, func(c Call) (string, error) {
+		if c.Verb == DrainOn {
+			close(began)
+			<-release
+		}
+		return echo(c)
+	})
+	busy := dial(t, p)
+	io.WriteString(busy, "drain-on\n")
+	testkit.Wait(t, began)
+	var silent []net.Conn
+	for i := range 5 * Callers {
+		c := dial(t, p)
+		io.WriteString(c, "che"[:i%3])
+		silent = append(silent, c)
+	}
+	c := dial(t, p)
+	io.WriteString(c, "check\n")
+	if s, err := bufio.NewReader(c).ReadString('\n'); err != nil || s != "200 check\n" {
+		t.Errorf("behind the silent: %q, %v", s, err)
+	}
+	if s, _ := io.ReadAll(silent[0]); len(s) > 0 {
+		t.Errorf("the longest silent hears %q", s)
+	}
+	close(release)
+	if s, err := bufio.NewReader(busy).ReadString('\n'); err != nil || s != "200 drain-on\n" {
+		t.Errorf("the busy one: %q, %v", s, err)
+	}
+}
--- /dev/null
+++ b/internal/orders/orders_test.go
@@ -0,0 +1,102 @@
+package orders
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestServer(t *testing.T) {
+	var s State
+	if s.Server("a", false, 1); s.Out("a") || len(s.Servers) != 0 {
+		t.Error("a call back of what was not out is remembered")
+	}
+	s.Server("a", true, 10)
+	s.Server("a", true, 20)
+	if !s.Out("a") || s.Out("b") || s.Servers["a"].At != 10 {
+		t.Errorf("after two calls: %+v", s)
+	}
+	s.Server("a", false, 5) // the clock stood
+	if s.Out("a") || s.Servers["a"].At != 11 {
+		t.Errorf("one call back ends it: %+v", s)
+	}
+	for boot, want := range map[time.Duration]time.Duration{0: 11, 10: 11, 12: 12} {
+		if b := s.Boot("a", boot); b != want {
+			t.Errorf("listed start %d: %d, want %d", boot, b, want)
+		}
+	}
+	if s.Boot("b", 3) != 3 {
+		t.Error("a server that nobody took out starts anew")
+	}
+}
+
+// The ban lasts however many servers come and go; what was called back is forgotten first.
+func TestMost(t *testing.T) {
+	var s State
+	for i := range Most {
+		if err := s.Server(fmt.Sprint(i), true, time.Duration(i+1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.Server("more", true, Most+1); err != ErrMany {
+		t.Errorf("one more: %v", err)
+	}
+	s.Server("0", false, Most+2)
+	if err := s.Server("more", true, Most+3+keep); err != nil || len(s.Servers) != Most {
+		t.Errorf("%v, %d kept", err, len(s.Servers))
+	}
+}
+
+// Whatever two processes hear, and however often and in whatever order they tell each other, they agree in the end, and
+// the latest word on each server holds.
+func TestMergeProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var side [2]State
+		for i := range rapid.IntRange(1, 30).Draw(t, "calls") {
+			at, now := rapid.IntRange(0, 1).Draw(t, "side"), time.Duration(i/2+1)
+			on := rapid.Bool().Draw(t, "on")
+			if rapid.IntRange(0, 4).Draw(t, "drain") == 0 {
+				side[at].SetDrain(on, now)
+			} else {
+				side[at].Server(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"), on, now)
+			}
+			if rapid.Bool().Draw(t, "tell") {
+				side[1-at].Merge(side[at].Clone())
+			}
+		}
+		a, b := side[0].Clone(), side[1].Clone()
+		a.Merge(side[1])
+		b.Merge(side[0])
+		if !reflect.DeepEqual(a, b) && !(len(a.Servers) == 0 && len(b.Servers) == 0 && a.Drain == b.Drain) {
+			t.Fatalf("%+v and %+v", a, b)
+		}
+		if changed := a.Merge(b); len(changed) > 0 {
+			t.Fatalf("told again: %v", changed)
+		}
+		for id, o := range a.Servers {
+			for _, s := range side {
+				if w, is := s.Servers[id]; is && w.At > o.At {
+					t.Fatalf("%s: %+v held before %+v", id, o, w)
+				}
+			}
+		}
+	})
+}
+
+func TestSeen(t *testing.T) {
+	s := NewSeen(3)
+	for _, id := range []string{"a", "b", "a", "c", "d"} {
+		s.Add(id)
+	}
+	if s.Has("a") || !s.Has("b") || !s.Has("c") || !s.Has("d") || len(s.has) != 3 {
+		t.Errorf("remembers %v", s.has)
+	}
+	other := NewSeen(3)
+	other.Import(s.Export(2))
+	if other.Has("b") || !other.Has("c") || !other.Has("d") {
+		t.Error("the latest go over")
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -32,8 +32,9 @@
 	Clock    engine.Clock
 	Sender   engine.Sender
 	Source   engine.Source
-	Known    engine.News // the list as it was held before; may be empty
-	Pushed   bool        // the list is followed unasked
+	Orders   engine.Orders // nil: operators order nothing
+	Known    engine.News   // the list as it was held before; may be empty
+	Pushed   bool          // the list is followed unasked
 	Shares   Shares
 	Module   engine.Module // nil: the one in service
 	GRPC     bool          // its servers take requests of gRPC, and no others
@@ -70,7 +71,8 @@
 		p.classes[c.Name] = c
 	}
 	p.engine = engine.New(engine.Config{Name: cfg.Name, Clock: cfg.Clock, Module: cfg.Module, Sender: cfg.Sender,
-		Source: cfg.Source, MaxAttempts: cfg.Settings.MaxAttempts, Pushed: cfg.Pushed, Held: cfg.Shares.Held})
+		Source: cfg.Source, MaxAttempts: cfg.Settings.MaxAttempts, Pushed: cfg.Pushed, Held: cfg.Shares.Held,
+		Orders: cfg.Orders})
 	return p, nil
 }
 
--- a/policy.go
+++ b/policy.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -131,12 +132,9 @@
 		}
 		return
 	}
-	if len(e.Token) < 2 || e.Token[:2] != "r:" {
-		return
-	}
 	// A host may round a time down, so a timer can come a hair early: nothing relies on its being
 	// late enough, and a review that finds nothing due yet asks for another.
-	if r := b.requests[e.Token[2:]]; r != nil {
+	if r := b.requests[strings.TrimPrefix(e.Token, "r:")]; r != nil {
 		if b.now+b.set.Tick >= r.wake {
 			r.wake = 0
 		}
@@ -159,7 +157,9 @@
 // takeList applies news of the servers. A new boot time resets what is known of a server. News of
 // changes costs in step with the changes: the ready servers are kept in their order.
 func (b *Balancer) takeList(e ServerList) {
-	b.heard = b.now
+	if !e.Ordered {
+		b.heard = b.now
+	}
 	if !e.Full && len(e.Servers) == 0 {
 		b.subFails = 0
 		return
