Upgrades: the listening socket, orders and what is known go over to a successor

Rejected: SO_REUSEPORT alone, whose old queue is reset at the close. Orders are merged and confirmed by both processes; the list and what the module has learned go over as a value with a version (hollyspur.Knowledge, checked figure by figure). At SIGTERM a process with a successor leads callers there and ends when none is left; else as before. Ruled out as causes: discovery and the readiness check, both fine.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -148,6 +148,15 @@
 // Now is the engine's clock time.
 func (e *Engine) Now() time.Duration { return e.cfg.Clock.Now() }
 
+// Learn has the module go on with what another learned, if it can. It follows Start.
+func (e *Engine) Learn(k *hollyspur.Knowledge) {
+	e.Do(func() {
+		if l, is := e.cfg.Module.(Learner); is {
+			l.Learn(k)
+		}
+	})
+}
+
 // Start applies a list that was held before, if any, and follows the source if lists are pushed.
 func (e *Engine) Start(known News) {
 	e.Do(func() {
--- a/internal/engine/list.go
+++ b/internal/engine/list.go
@@ -64,6 +64,42 @@
 	})
 }
 
+// Learner is a module that can go on with what another has learned.
+type Learner interface {
+	Knowledge() *hollyspur.Knowledge
+	Learn(*hollyspur.Knowledge)
+}
+
+// Export gives the list as the source told it and what the module has learned, nil if it is no Learner; false if ctx
+// ends before the engine comes to it.
+func (e *Engine) Export(ctx context.Context) (x Exported, ok bool) {
+	got := make(chan Exported, 1)
+	go e.Do(func() {
+		x := Exported{Version: e.version}
+		for _, ep := range e.endpoints {
+			x.Servers = append(x.Servers, ep.listed)
+		}
+		if l, is := e.cfg.Module.(Learner); is {
+			x.Knowledge = l.Knowledge()
+		}
+		got <- x
+	})
+	select {
+	case x := <-got:
+		return x, true
+	case <-ctx.Done():
+	case <-e.done:
+	}
+	return Exported{}, false
+}
+
+// Exported is what another engine needs to go on as this one would.
+type Exported struct {
+	Version   string // of the list
+	Servers   []Listed
+	Knowledge *hollyspur.Knowledge // nil: none
+}
+
 // merge takes over entries with the operators' orders laid over them; ordered: nothing new came from the source.
 func (e *Engine) merge(n News, ordered bool) {
 	listed := make(map[string]bool, len(n.Servers))
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -68,6 +68,7 @@
 	server  *http.Server
 	leading atomic.Bool // callers are led away
 	unready atomic.Bool // and told so when they ask
+	handed  atomic.Bool // the listener is another process's
 }
 
 // New returns a front that accepts callers from l once Serve is called. Callers' connections are held
@@ -118,7 +119,13 @@
 func (f *Front) Addr() net.Addr { return f.callers.Addr() }
 
 // Serve serves until Shutdown, and then returns http.ErrServerClosed.
-func (f *Front) Serve() error { return f.server.Serve(f.callers) }
+func (f *Front) Serve() error {
+	err := f.server.Serve(f.callers)
+	if f.handed.Load() {
+		return http.ErrServerClosed
+	}
+	return err
+}
 
 // LeadAway has callers go elsewhere, or lets them stay again: answers end their connections, and idle ones are closed
 // by LeadIdle. Whatever comes is served all the same.
@@ -134,6 +141,13 @@
 	}
 }
 
+// Hand accepts nothing more and goes on with the connections that there are. Those that nobody has accepted yet stay
+// for whoever else has the listening socket.
+func (f *Front) Hand() {
+	f.handed.Store(true)
+	f.callers.Listener.Close()
+}
+
 // Open is how many connections of callers there are.
 func (f *Front) Open() int { return f.callers.open() }
 
--- /dev/null
+++ b/internal/handover/state.go
@@ -0,0 +1,87 @@
+// Package handover is how a process of a node learns from the one that it takes over from, and how the two hold the same
+// orders while both run. What is handed over is a value with a version (state.go); link.go carries it over a Unix socket
+// in a directory that both see, with the listening sockets beside it. It decides nothing: without a predecessor, or with
+// one that says nothing sensible in time, a process starts as if it were alone.
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"hollyspur"
+	"hollyspur/internal/orders"
+)
+
+// Version is that of the form. A reader takes its own and ignores fields that it does not know; of another it takes
+// nothing, for it could misread what it says.
+const Version = 1
+
+// State is what a successor is told.
+type State struct {
+	Version int           `json:"version"`
+	At      time.Duration `json:"at"` // Unix time when this was so
+	Orders  orders.State  `json:"orders"`
+	Seen    []uint64      `json:"seen,omitempty"` // orders.Seen
+	Pools   []Pool        `json:"pools,omitempty"`
+	// Listeners are the addresses of the sockets that come beside it, in their order.
+	Listeners []string `json:"listeners,omitempty"`
+}
+
+// Pool is what one pool holds.
+type Pool struct {
+	Name      string               `json:"name"`
+	List      string               `json:"list"` // the list's version; "": none was had from the source
+	Servers   []Listed             `json:"servers"`
+	Knowledge *hollyspur.Knowledge `json:"knowledge,omitempty"`
+}
+
+// Listed is an entry of the list as the source told it, without orders.
+type Listed struct {
+	ID     string                `json:"id"`
+	Addr   string                `json:"addr"`
+	Zone   string                `json:"zone,omitempty"`
+	Cell   int                   `json:"cell,omitempty"`
+	State  hollyspur.ServerState `json:"state"`
+	Size   float64               `json:"size,omitempty"`
+	Boot   time.Duration         `json:"boot,omitempty"`
+	Weight float64               `json:"weight,omitempty"`
+	Rank   int                   `json:"priority,omitempty"`
+}
+
+// maxState bounds the text of a state.
+const maxState = 16 << 20
+
+// ErrVersion says that a state is of another form.
+var ErrVersion = errors.New("it is of another version")
+
+// Parse reads a state.
+func Parse(text []byte) (State, error) {
+	var head struct {
+		Version int `json:"version"`
+	}
+	if err := json.Unmarshal(text, &head); err != nil {
+		return State{}, err
+	}
+	if head.Version != Version {
+		return State{}, fmt.Errorf("%w: %d, not %d", ErrVersion, head.Version, Version)
+	}
+	var s State
+	if err := json.Unmarshal(text, &s); err != nil {
+		return State{}, err
+	}
+	if len(s.Orders.Servers) > 2*orders.Most {
+		return State{}, orders.ErrMany
+	}
+	for _, p := range s.Pools {
+		seen := make(map[string]bool, len(p.Servers))
+		for _, v := range p.Servers {
+			if v.ID == "" || seen[v.ID] || v.State < hollyspur.Ready || v.State > hollyspur.Gone {
+				return State{}, fmt.Errorf("pool %.40q: server %.40q is nameless, there twice or in no state", p.Name, v.ID)
+			}
+			seen[v.ID] = true
+		}
+	}
+	return s, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,18 +29,21 @@
 
 // Node is one process's worth of fronts and pools.
 type Node struct {
-	options Options
-	admin   *admin // nil: none
-	zones   *zones
-	clock   engine.Clock
-	budgets budgets
-	fresh   *pool.Share // for callers' connections before their first request
-	fronts  []Front
-	serving atomic.Pointer[serving]
-	linger  time.Duration // how long a stopping node goes on as before
-	desk    *desk
-	port    *opsport.Port // nil: operators can't call
-	ready   atomic.Bool   // clients are taken
+	options   Options
+	admin     *admin // nil: none
+	zones     *zones
+	clock     engine.Clock
+	budgets   budgets
+	fresh     *pool.Share // for callers' connections before their first request
+	fronts    []Front
+	serving   atomic.Pointer[serving]
+	linger    time.Duration // how long a stopping node goes on as before
+	desk      *desk
+	port      *opsport.Port // nil: operators can't call
+	relay     *relay        // nil: nobody hands anything over
+	parts     int64         // processes that share the node's limits
+	listeners []net.Listener
+	ready     atomic.Bool // clients are taken
 
 	stopping atomic.Bool
 	patience atomic.Int64 // ns that callers may wait for what a stopping node has taken
@@ -134,6 +137,10 @@
 			n.closeAll()
 		}
 	}()
+	n.relay, n.parts = newRelay(n, plan.State), 1
+	if n.relay != nil && n.relay.from != nil {
+		n.parts = 2
+	}
 	if n.xds, err = n.openXDS(plan); err != nil {
 		return nil, err
 	}
@@ -142,6 +149,7 @@
 	}
 	s := &serving{routes: plan.Routes, pools: make(map[string]*pool.Pool, len(plan.Pools))}
 	for _, pp := range plan.Pools {
+		n.relay.takeOver(&pp)
 		p, err := n.newPool(pp, n.xds, m)
 		if err != nil {
 			return nil, err
@@ -151,15 +159,22 @@
 	if err := n.divide(plan, s.pools); err != nil {
 		return nil, err
 	}
+	listen := func(addr string) (net.Listener, error) {
+		l, err := n.relay.listen(addr)
+		if err == nil {
+			n.listeners = append(n.listeners, l)
+		}
+		return l, err
+	}
 	for _, addr := range plan.Listen {
-		l, err := net.Listen("tcp", addr)
+		l, err := listen(addr)
 		if err != nil {
 			return nil, err
 		}
 		n.fronts = append(n.fronts, front.New(l, n.clock, routes{n}, n.fresh))
 	}
 	for _, addr := range plan.ListenH2 {
-		l, err := net.Listen("tcp", addr)
+		l, err := listen(addr)
 		if err != nil {
 			return nil, err
 		}
@@ -173,13 +188,12 @@
 		if o.ExtProc == nil {
 			return nil, ErrNoExtProc
 		}
-		l, err := net.Listen("tcp", plan.ExtProc.Listen)
+		l, err := listen(plan.ExtProc.Listen)
 		if err != nil {
 			return nil, err
 		}
 		n.fronts = append(n.fronts, o.ExtProc(l, *plan.ExtProc, n.clock, n))
 	}
-	n.desk.change = n.ordered
 	if plan.Operator != "" {
 		n.port, err = opsport.New(plan.Operator, func(c opsport.Call) (string, error) { return n.desk.call(c, n.ready.Load) })
 		if err != nil {
@@ -195,6 +209,11 @@
 	n.serving.Store(s)
 	n.await(s.pools)
 	n.linger = max(minLinger, n.wait()-settling)
+	n.desk.change = n.ordered
+	if n.relay != nil {
+		n.desk.share = n.relay.share
+	}
+	n.ordered(nil) // what stands from before
 	return n, nil
 }
 
@@ -232,9 +251,13 @@
 	default:
 		to = n.options.H2(pp.Conns, pp.Mux, shares.Connections)
 	}
+	var learned *hollyspur.Knowledge
+	if was := n.relay.pool(pp.Name); was != nil {
+		learned = was.Knowledge
+	}
 	p, err := pool.New(pool.Config{Name: pp.Name, Settings: pp.Settings, Seed: seed(pp), Clock: n.clock,
 		Sender: to,
-		Source: n.source(pp.List, x), Known: pp.Known, Pushed: pp.Pushed, Shares: shares, Module: m, GRPC: pp.GRPC, Orders: n.desk})
+		Source: n.source(pp.List, x), Known: pp.Known, Pushed: pp.Pushed, Shares: shares, Module: m, GRPC: pp.GRPC, Orders: n.desk, Learned: learned})
 	if err != nil {
 		return nil, fmt.Errorf("pool %q: %w", pp.Name, err)
 	}
@@ -263,7 +286,10 @@
 				quotas[s] = pool.Quota{}
 			}
 		}
-		err = errors.Join(err, b.Configure(total, quotas))
+		for s, q := range quotas {
+			quotas[s] = pool.Quota{Min: q.Min / n.parts, Max: q.Max / n.parts}
+		}
+		err = errors.Join(err, b.Configure(max(1, total/n.parts), quotas))
 	}
 	t := plan.Totals
 	configure(n.budgets.calls, t.Calls, func(s pool.Shares) *pool.Share { return s.Calls },
@@ -337,6 +363,7 @@
 	for _, f := range n.fronts {
 		go func() { served <- f.Serve() }()
 	}
+	n.relay.start()
 	n.ready.Store(true)
 	relieve := time.NewTicker(relieveEvery)
 	defer relieve.Stop()
@@ -353,15 +380,20 @@
 	}
 
 	n.stopping.Store(true)
+	n.ready.Store(false)
 	log.Print("told to stop")
 	defer log.Print("stopped")
 	cutoff := time.Now().Add(n.wait() + killedAfter - lastCall)
 	abandon := time.AfterFunc(time.Until(cutoff), n.abandonAll)
 	defer abandon.Stop()
-	select {
-	case err := <-served:
-		return fmt.Errorf("serving callers: %w", err)
-	case <-time.After(n.linger):
+	if n.relay.succeededBy() {
+		n.giveWay(cutoff)
+	} else {
+		select {
+		case err := <-served:
+			return fmt.Errorf("serving callers: %w", err)
+		case <-time.After(n.linger):
+		}
 	}
 	closing, cancel := context.WithDeadline(context.Background(), cutoff.Add(lastCall/2))
 	defer cancel()
@@ -378,6 +410,37 @@
 	LeadAway(on bool)
 	LeadIdle()
 	Unready(on bool)
+	Open() int
+	Hand() // accepts nothing more: a successor accepts from the same queue
+}
+
+// leadEvery is how often a process that gives way looks for idle connections.
+const leadEvery = 20 * time.Millisecond
+
+// giveWay leaves new connections to the successor and leads callers there, until none is left or time is up.
+func (n *Node) giveWay(until time.Time) {
+	log.Print("giving way to a successor")
+	for _, f := range n.fronts {
+		if l, can := f.(leads); can {
+			l.Hand()
+			l.LeadAway(true)
+		}
+	}
+	tick := time.NewTicker(leadEvery)
+	defer tick.Stop()
+	for time.Now().Before(until) {
+		n.leadIdle()
+		open := 0
+		for _, f := range n.fronts {
+			if l, can := f.(leads); can {
+				open += l.Open()
+			}
+		}
+		if open == 0 {
+			return
+		}
+		<-tick.C
+	}
 }
 
 // ordered has operators' orders take effect: those for some servers, and the drain.
@@ -454,6 +517,7 @@
 	if n.port != nil {
 		n.port.Close()
 	}
+	n.relay.close()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.xds != nil {
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -67,7 +67,8 @@
 func (d *desk) known(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.listed[id] > 0 || d.seen.Has(id)
+	_, ordered := d.stands.Load().Servers[id]
+	return d.listed[id] > 0 || ordered || d.seen.Has(id)
 }
 
 // update changes what stands. It takes effect for attempts before it returns.
@@ -82,24 +83,30 @@
 	return nil
 }
 
-// merge takes over what another process of this node knows.
-func (d *desk) merge(of orders.State) {
+// merge takes over what another process of this node knows; false: nothing new.
+func (d *desk) merge(of orders.State) bool {
 	var changed []string
 	drained := d.draining()
 	d.update(func(s *orders.State) error {
 		changed = s.Merge(of)
 		return nil
 	})
-	if len(changed) > 0 || drained != d.draining() {
-		d.change(changed)
+	if len(changed) == 0 && drained == d.draining() {
+		return false
 	}
+	d.change(changed)
+	return true
 }
 
 // export is what another process needs to answer as this one does.
 func (d *desk) export() (orders.State, []uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return *d.stands.Load(), d.seen.Export(maxExported)
+	seen := d.seen.Export(maxExported)
+	for id := range d.listed {
+		seen = append(seen, orders.Hash(id))
+	}
+	return *d.stands.Load(), seen
 }
 
 // maxExported is how many ids of servers that have left go over to a successor.
--- a/internal/orders/seen.go
+++ b/internal/orders/seen.go
@@ -18,14 +18,15 @@
 // NewSeen remembers so many.
 func NewSeen(most int) *Seen { return &Seen{most: most, has: map[uint64]int{}} }
 
-func hash(id string) uint64 {
+// Hash is what is remembered of an id.
+func Hash(id string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(id))
 	return h.Sum64()
 }
 
 // Add notes that a server has left the list.
-func (s *Seen) Add(id string) { s.add(hash(id)) }
+func (s *Seen) Add(id string) { s.add(Hash(id)) }
 
 func (s *Seen) add(h uint64) {
 	if s.most == 0 || s.has[h] > 0 {
@@ -45,7 +46,7 @@
 }
 
 // Has says that a server was listed once and is remembered.
-func (s *Seen) Has(id string) bool { return s.has[hash(id)] > 0 }
+func (s *Seen) Has(id string) bool { return s.has[Hash(id)] > 0 }
 
 // Export gives up to most of the latest, oldest first, for Import in another process.
 func (s *Seen) Export(most int) []uint64 {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -32,9 +32,10 @@
 	Clock    engine.Clock
 	Sender   engine.Sender
 	Source   engine.Source
-	Orders   engine.Orders // nil: operators order nothing
-	Known    engine.News   // the list as it was held before; may be empty
-	Pushed   bool          // the list is followed unasked
+	Orders   engine.Orders        // nil: operators order nothing
+	Known    engine.News          // the list as it was held before; may be empty
+	Pushed   bool                 // the list is followed unasked
+	Learned  *hollyspur.Knowledge // by another that this one takes over from; nil: none
 	Shares   Shares
 	Module   engine.Module // nil: the one in service
 	GRPC     bool          // its servers take requests of gRPC, and no others
@@ -48,6 +49,7 @@
 	shares  Shares
 	sender  engine.Sender
 	known   engine.News
+	learned *hollyspur.Knowledge
 	pushed  bool
 	grpc    bool
 
@@ -66,7 +68,7 @@
 		cfg.Module = b
 	}
 	p := &Pool{name: cfg.Name, classes: make(map[string]hollyspur.Class, len(cfg.Settings.Classes)), shares: cfg.Shares,
-		sender: cfg.Sender, known: cfg.Known, pushed: cfg.Pushed, grpc: cfg.GRPC, stop: func() {}}
+		sender: cfg.Sender, known: cfg.Known, learned: cfg.Learned, pushed: cfg.Pushed, grpc: cfg.GRPC, stop: func() {}}
 	for _, c := range cfg.Settings.Classes {
 		p.classes[c.Name] = c
 	}
@@ -82,6 +84,9 @@
 	p.stop = stop
 	go p.engine.Run(ctx)
 	p.engine.Start(p.known)
+	if p.learned != nil {
+		p.engine.Learn(p.learned)
+	}
 }
 
 // Name is the pool's name; empty for the only pool of a platform's node.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -212,7 +212,7 @@
 	log.SetPrefix(name + " ")
 	if memoryMB > 0 {
 		// Collect harder well before the limit at which the node is killed.
-		debug.SetMemoryLimit(int64(memoryMB * 0.7 * (1 << 20)))
+		debug.SetMemoryLimit(node.MemoryLimit(memoryMB, 1))
 	}
 	if cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cores)))
--- /dev/null
+++ b/knowledge.go
@@ -0,0 +1,117 @@
+package hollyspur
+
+import "time"
+
+// Knowledge is what a Balancer has learned, for another that goes on in its place. It is data only, and holds no
+// requests: what is out stays with the Balancer that sent it. Times are clock times.
+type Knowledge struct {
+	At      time.Duration     `json:"at"` // when this was so
+	Window  float64           `json:"window"`
+	Fill    float64           `json:"fill"`
+	Pace    float64           `json:"pace"`
+	Bare    float64           `json:"bare"`
+	Answers float64           `json:"answers"`
+	Fresh   float64           `json:"fresh"`
+	Spread  float64           `json:"spread"`
+	Errors  float64           `json:"errors"`
+	Tokens  float64           `json:"tokens"`
+	Shed    float64           `json:"shed"`
+	Vain    float64           `json:"vain"`
+	Classes []ClassKnowledge  `json:"classes"`
+	Servers []ServerKnowledge `json:"servers"`
+}
+
+// ClassKnowledge is of a class, by name.
+type ClassKnowledge struct {
+	Name       string        `json:"name"`
+	Mean       float64       `json:"mean"` // latency of successes, in ns
+	Dev        float64       `json:"dev"`
+	Cost       float64       `json:"cost"`
+	Arrive     float64       `json:"arrive"`
+	Serve      float64       `json:"serve"`
+	LongestTry time.Duration `json:"longest_try"`
+}
+
+// ServerKnowledge is of a server, by id and start: one that started anew is another.
+type ServerKnowledge struct {
+	ID       string        `json:"id"`
+	Boot     time.Duration `json:"boot"`
+	Streak   int           `json:"streak"`
+	Level    int           `json:"level"`
+	Goods    int           `json:"goods"`
+	Until    time.Duration `json:"until"`
+	Slow     float64       `json:"slow"`
+	Samples  int           `json:"samples"`
+	LastOK   time.Duration `json:"last_ok"`
+	Took     time.Duration `json:"took"`
+	Room     int           `json:"room"`
+	Turned   time.Duration `json:"turned"`
+	Full     time.Duration `json:"full"`
+	Refusals int           `json:"refusals"`
+}
+
+// Knowledge is what b has learned until its last event.
+func (b *Balancer) Knowledge() *Knowledge {
+	k := &Knowledge{At: b.now, Window: b.window, Fill: b.fill, Pace: b.pace, Bare: b.bare, Answers: b.answers, Fresh: b.fresh,
+		Spread: b.spread, Errors: b.errors, Tokens: b.tokens, Shed: b.shed, Vain: b.vain}
+	for _, c := range b.order {
+		k.Classes = append(k.Classes, ClassKnowledge{c.Name, c.mean, c.dev, c.cost, c.arrive, c.serve, c.longestTry})
+	}
+	for _, s := range b.servers {
+		if s.listed {
+			k.Servers = append(k.Servers, ServerKnowledge{s.ID, s.Boot, s.streak, s.level, s.goods, s.until, s.slow, s.samples,
+				s.lastOK, s.took, s.room, s.turned, s.full, s.refusals})
+		}
+	}
+	return k
+}
+
+// Learn takes over what another Balancer for the same tier had learned, once the list of servers is known. It may be
+// called once, before the first request. What is not sound is left as it is.
+func (b *Balancer) Learn(k *Knowledge) {
+	sound := func(v, least, most float64) bool { return v >= least && v <= most } // NaN is neither
+	take := func(to *float64, v, least, most float64) {
+		if sound(v, least, most) {
+			*to = v
+		}
+	}
+	const huge = 1e15 // ns, ratios and counts alike
+	if len(b.ready) > 0 {
+		take(&b.window, k.Window, 1e-3, 1e6)
+	}
+	take(&b.fill, k.Fill, 0, 1)
+	take(&b.pace, k.Pace, -50, 0)
+	take(&b.bare, k.Bare, -50, 0)
+	take(&b.answers, k.Answers, 0, huge)
+	take(&b.fresh, k.Fresh, 0, 1)
+	take(&b.spread, k.Spread, 0, 1e3)
+	take(&b.errors, k.Errors, 0.01, 1)
+	take(&b.tokens, k.Tokens, 0, retryPurse)
+	take(&b.shed, k.Shed, 0, 1)
+	take(&b.vain, k.Vain, 0, 1)
+	for _, l := range k.Classes {
+		c := b.classes[l.Name]
+		if c == nil {
+			continue
+		}
+		take(&c.mean, l.Mean, 1, huge)
+		take(&c.dev, l.Dev, 0, huge)
+		take(&c.cost, l.Cost, 0, huge)
+		if sound(l.Arrive, 0, huge) && sound(l.Serve, 0, l.Arrive) {
+			c.arrive, c.serve = l.Arrive, l.Serve
+		}
+		c.longestTry = max(0, min(l.LongestTry, c.Deadline))
+	}
+	soon := b.now + 10*time.Minute
+	for _, l := range k.Servers {
+		s := b.servers[l.ID]
+		if s == nil || s.Boot != l.Boot || l.Streak < 0 || l.Level < 0 || l.Level > maxLevel || l.Goods < 0 || l.Samples < 0 ||
+			l.Room < 0 || l.Refusals < 0 || l.Refusals > maxLevel || l.Until > soon || l.Full > soon ||
+			max(l.LastOK, l.Took, l.Turned) > soon || !sound(l.Slow, -50, 50) {
+			continue
+		}
+		s.streak, s.level, s.goods, s.until, s.slow, s.samples = l.Streak, l.Level, l.Goods, l.Until, l.Slow, l.Samples
+		s.lastOK, s.took, s.room, s.turned, s.full, s.refusals = l.LastOK, l.Took, l.Room, l.Turned, l.Full, l.Refusals
+	}
+	b.usableAt = -1
+}
--- /dev/null
+++ b/knowledge_test.go
@@ -0,0 +1,96 @@
+package hollyspur
+
+import (
+	"encoding/json"
+	"math"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// A Balancer that learned from another believes what that one did.
+func TestLearn(t *testing.T) {
+	list := ServerList{Full: true, Servers: []Server{{ID: "a"}, {ID: "b"}, {ID: "c", Boot: 5}}}
+	set := Settings{Classes: []Class{{Name: "x", Effect: Safe, Aim: time.Second, Deadline: 3 * time.Second, Worth: 1}}, Balancers: 1, MaxAttempts: 3, Tick: time.Millisecond}
+	old, _ := New(set, 1)
+	now := time.Hour
+	old.Handle(now, list)
+	for i := range 200 {
+		id := string(rune('a'+i%26)) + string(rune('a'+i/26))
+		for _, a := range old.Handle(now, Request{ID: id, Class: "x", Deadline: now + 3*time.Second}) {
+			if s, is := a.(Send); is {
+				took := 30 * time.Millisecond
+				ending := Success
+				if s.Server == "b" {
+					took, ending = 90*time.Millisecond, Failure
+				}
+				now += took
+				old.Handle(now, Outcome{ID: id, Server: s.Server, Ending: ending, Latency: took, Ended: ending == Success})
+			}
+		}
+	}
+	text, err := json.Marshal(old.Knowledge())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var k Knowledge
+	if err := json.Unmarshal(text, &k); err != nil {
+		t.Fatal(err)
+	}
+	next, _ := New(set, 2)
+	list.Servers[2].Boot = 6 // it started anew
+	next.Handle(now, list)
+	next.Learn(&k)
+	x, y := old.Beliefs(10), next.Beliefs(10)
+	if x.Window != y.Window || x.Fill != y.Fill || x.Errors != y.Errors || !reflect.DeepEqual(x.Classes, y.Classes) {
+		t.Errorf("%+v\n%+v", x, y)
+	}
+	for i := range x.Servers { // calls stay with whoever sent them
+		x.Servers[i].Calls, x.Servers[i].OldestMS = 0, 0
+	}
+	if !reflect.DeepEqual(x.Servers[:2], y.Servers[:2]) {
+		t.Errorf("servers:\n%+v\n%+v", x.Servers, y.Servers)
+	}
+	if y.Servers[2].Slow != 0 {
+		t.Error("a server that started anew is taken for the one before")
+	}
+}
+
+// Whatever it is told, a Balancer keeps its own bounds and goes on serving.
+func TestLearnProperty(t *testing.T) {
+	set := Settings{Classes: []Class{{Name: "x", Effect: Safe, Aim: time.Second, Deadline: 3 * time.Second, Worth: 1}}, Balancers: 2, MaxAttempts: 3, Tick: time.Millisecond}
+	rapid.Check(t, func(t *rapid.T) {
+		number := rapid.SampledFrom([]float64{0, 1, -1, 0.5, math.NaN(), math.Inf(1), math.Inf(-1), 1e300, 17})
+		span := rapid.SampledFrom([]time.Duration{0, 1, -1, math.MaxInt64, math.MinInt64, time.Hour})
+		count := rapid.SampledFrom([]int{0, 1, -1, 4, math.MaxInt, math.MinInt})
+		n := func() float64 { return number.Draw(t, "n") }
+		d := func() time.Duration { return span.Draw(t, "d") }
+		c := func() int { return count.Draw(t, "c") }
+		k := &Knowledge{d(), n(), n(), n(), n(), n(), n(), n(), n(), n(), n(), n(),
+			[]ClassKnowledge{{"x", n(), n(), n(), n(), n(), d()}, {"y", n(), n(), n(), n(), n(), d()}},
+			[]ServerKnowledge{{"a", 0, c(), c(), c(), d(), n(), c(), d(), d(), c(), d(), d(), c()}, {"z", 0, c(), c(), c(), d(), n(), c(), d(), d(), c(), d(), d(), c()}}}
+		b, _ := New(set, 1)
+		now := time.Hour
+		b.Handle(now, ServerList{Full: true, Servers: []Server{{ID: "a"}, {ID: "b"}}})
+		b.Learn(k)
+		for i := range 50 {
+			now += 100 * time.Millisecond
+			id := strings.Repeat("r", i+1)
+			actions := b.Handle(now, Request{ID: id, Class: "x", Deadline: now + 3*time.Second})
+			if !slices.ContainsFunc(actions, func(a Action) bool { _, is := a.(Send); return is }) {
+				continue
+			}
+			b.Handle(now+10*time.Millisecond, Outcome{ID: id, Ending: Success, Latency: 10 * time.Millisecond, Ended: true})
+		}
+		v := b.Beliefs(0)
+		for name, x := range map[string]float64{"window": v.Window, "fill": v.Fill, "bare": v.Bare, "errors": v.Errors, "tokens": v.Tokens, "mean": v.Classes[0].MeanMS} {
+			if math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+				t.Fatalf("%s is %v after %+v", name, x, k)
+			}
+		}
+	})
+}
