Long bodies and answers pass through as they come, with backpressure, in every framing

Cause: bodies over 64 KiB were refused (413, internal/front/http1/front.go check), chunked ones too (411), answers were read whole within 500 ms and up to 1 MiB (sender/http1/read.go wholeWithin, maxAnswer), and a request's time ran from its head.

Change: the first 64 KiB of a body are kept whole as before, so that it can be sent again; what follows goes out as it comes (message.Stream), 64 KiB ahead at the most. A call's times run from its last byte (engine.Call.Arriving, Arrived), and that part of it has gone is told to the module (Outcome.Spent). Answers over 64 KiB, or of untold length after 100 ms, are passed on piece by piece out of one budget; with that used up each still gets 2 KiB at a time, so none waits for another. A server that answers before a body's end is heard; a body ended by close counts if the head announced that; both a length and a coding is refused (head.go, as the library drops the length).

Now an answer that has begun and only takes long to pass on is no call (Started.Transfer), its length no latency, and its server not silent. Ruled out: the budgets of bodies and callers (no refusal of theirs).

Rejected: spooling bodies in TMPDIR, which counts as memory; answering a slow upload's time from its head.

--- a/hollyspur.go
+++ b/hollyspur.go
@@ -222,15 +222,18 @@
 		Ending  Ending
 		Latency time.Duration
 		Ended   bool
+		Spent   bool // part of the request has gone and can't be sent again
 		Load    *Load
 		// What went between: the bytes of bodies, and whether the request was written whole. The module reads none.
 		Wrote   bool
 		Out, In int64
 	}
-	// Started says that a streamed answer has begun: the attempt is the client's from here on.
+	// Started says that a streamed answer has begun: the attempt is the client's from here on. Transfer: the server has
+	// done its work, and what takes time is only the way to the client.
 	Started struct {
-		ID      string
-		Attempt int
+		ID       string
+		Attempt  int
+		Transfer bool
 	}
 	// ClientGone says that the client left; nothing more is owed.
 	ClientGone struct{ ID string }
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -27,6 +27,12 @@
 	Carry(ctx context.Context, a *Attempt)
 }
 
+// Spendable is a payload of which a part may be sent once only.
+type Spendable interface {
+	// Spent says that it has gone.
+	Spent() bool
+}
+
 // Why an attempt's context ended.
 var (
 	ErrTimedOut  = errors.New("timed out")
@@ -176,7 +182,10 @@
 	}
 	now := e.cfg.Clock.Now()
 	timeout := c.Deadline - now
-	if s.Timeout != 0 { // 0: until the deadline
+	switch {
+	case c.arriving:
+		timeout = c.left // from its last byte on
+	case s.Timeout != 0: // 0: until the deadline
 		timeout = min(timeout, s.Timeout)
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -191,7 +200,9 @@
 		return
 	}
 	// The time for a streamed reply is over once it has begun, so it is not the context's deadline.
-	a.timer = time.AfterFunc(timeout, func() { cancel(ErrTimedOut) })
+	if !c.arriving {
+		a.expire(timeout)
+	}
 	if a.observer = e.observer; a.observer != nil {
 		a.observer.Began(a.server)
 	}
@@ -207,6 +218,11 @@
 	e.cfg.Sender.Start(ctx, a)
 }
 
+// expire gives the attempt up once that has passed.
+func (a *Attempt) expire(after time.Duration) {
+	a.timer = time.AfterFunc(after, func() { a.cancel(ErrTimedOut) })
+}
+
 // begin is the check at the moment of writing.
 func (e *Engine) begin(a *Attempt) (hollyspur.Ending, bool) {
 	return hollyspur.Void, !a.call.finished.Load()
@@ -222,10 +238,13 @@
 			return
 		}
 		c.stream = a
-		a.timer.Stop()
+		if a.timer != nil {
+			a.timer.Stop()
+		}
 		c.lastCall.Stop() // a stream that has begun has no deadline
 		c.To.Began(r)
-		e.handle(hollyspur.Started{ID: c.id, Attempt: a.n})
+		s, is := r.(Transferred)
+		e.handle(hollyspur.Started{ID: c.id, Attempt: a.n, Transfer: is && s.Transfer()})
 	})
 }
 
@@ -246,6 +265,9 @@
 		a.observer.Ended(a.server, ending)
 	}
 	o := hollyspur.Outcome{ID: c.id, Attempt: a.n, Server: a.server, Ending: ending}
+	if p, is := c.Payload.(Spendable); is {
+		o.Spent = p.Spent()
+	}
 	if x := a.crossed.Load(); x != nil {
 		o.Wrote, o.Out, o.In = true, x.out, x.in
 		if r, is := r.(Sized); is {
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -27,6 +27,9 @@
 // Sized is a reply that tells the bytes of its body.
 type Sized interface{ Size() int64 }
 
+// Transferred is a streamed reply that says whether its server has done all its work, and only hands it over.
+type Transferred interface{ Transfer() bool }
+
 // Answer is the final answer to a call.
 type Answer struct {
 	Verdict    Verdict
@@ -64,6 +67,9 @@
 	Size     int64         // bytes of its body
 	Payload  any           // what the sender sends
 	To       Receiver
+	// Arriving says that the rest of it is still on its way: its times run from when Arrived says that it is there, and
+	// until then nobody but its front gives it up for them.
+	Arriving bool
 
 	id       string      // ours: a caller's id may come again
 	finished atomic.Bool // answered, or its caller has gone; set by the engine's goroutine alone
@@ -72,6 +78,9 @@
 	stream   *Attempt // whose streamed reply has begun
 	out      int      // attempts that have not ended
 	held     bool     // counted in Config.Held
+	arriving bool
+	left     time.Duration // for the module, from its last byte on
+	own      time.Duration // and on top of that for the engine
 }
 
 // Submit hands the engine a call.
@@ -81,6 +90,37 @@
 // it may still come; the front then releases its reply.
 func (e *Engine) Gone(c *Call) { e.Do(func() { e.gone(c) }) }
 
+// Arrived notes that the last byte of a call that was Arriving has come: its time runs from now on.
+func (e *Engine) Arrived(c *Call) {
+	e.Do(func() {
+		if !c.arriving || c.finished.Load() {
+			return
+		}
+		c.arriving = false
+		c.Deadline = e.cfg.Clock.Now() + c.left
+		c.Last = c.Deadline + c.own
+		if c.stream != nil {
+			return // its answer has begun
+		}
+		e.answerBy(c)
+		for _, a := range c.attempts {
+			if !a.ended.Load() {
+				a.expire(c.left)
+			}
+		}
+	})
+}
+
+// answerBy has the engine answer at the last, should the module never say anything.
+func (e *Engine) answerBy(c *Call) {
+	c.lastCall = e.after(c.Last-e.cfg.Clock.Now(), func() {
+		if !c.finished.Load() && c.stream == nil {
+			e.logf("request %s: no answer from the module by its deadline", c.id)
+			e.abandon(c)
+		}
+	})
+}
+
 // Settle is Gone and the attempt's End in one: whoever carries the attempt has answered the caller.
 func (e *Engine) Settle(c *Call, a *Attempt, ending hollyspur.Ending) {
 	if !a.ended.CompareAndSwap(false, true) {
@@ -93,11 +133,11 @@
 	})
 }
 
-// AbandonAll fails whatever is unanswered.
+// AbandonAll fails whatever is unanswered, but for answers that have begun: these go on for as long as they can.
 func (e *Engine) AbandonAll() {
 	e.Do(func() {
 		for _, c := range e.calls {
-			if !c.finished.Load() {
+			if !c.finished.Load() && c.stream == nil {
 				e.abandon(c)
 			}
 		}
@@ -134,14 +174,15 @@
 	c.id = strconv.FormatUint(e.nextID, 10)
 	e.calls[c.id] = c
 	e.open.Add(1)
-	// The module answers by the deadline; should it ever say nothing, the caller still gets an answer
-	// in time.
-	c.lastCall = e.after(c.Last-e.cfg.Clock.Now(), func() {
-		if !c.finished.Load() {
-			e.logf("request %s: no answer from the module by its deadline", c.id)
-			e.abandon(c)
-		}
-	})
+	// The module answers by the deadline; should it ever say nothing, the caller still gets an answer in time.
+	if c.arriving = c.Arriving; c.arriving {
+		now := e.cfg.Clock.Now()
+		c.left, c.own = c.Deadline-now, c.Last-c.Deadline
+		c.lastCall = time.AfterFunc(time.Hour, func() {})
+		c.lastCall.Stop()
+	} else {
+		e.answerBy(c)
+	}
 	e.handle(hollyspur.Request{ID: c.id, Class: c.Class, Deadline: c.Deadline, Repeat: c.Repeat, Cost: c.Cost,
 		Tenant: c.Tenant[:min(len(c.Tenant), MaxTenant)], Among: among, From: c.From[:min(len(c.From), MaxZone)], Size: c.Size})
 	if e.cfg.Held == nil || c.finished.Load() || len(c.attempts) > 0 {
--- a/internal/front/http1/callers.go
+++ b/internal/front/http1/callers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,7 @@
 	quiet map[*pool.Share]*list.List // of *caller: those with no request that was taken, the longest so first
 	room  chan struct{}              // holds a token when a connection may have become free to close
 	count atomic.Int64               // connections that are open
+	heads bool                       // requests' heads are looked at as they come: HTTP/1.1
 }
 
 // caller is a caller's connection.
@@ -38,6 +40,8 @@
 	closed bool
 	used   bool         // a request came on it before
 	began  atomic.Int64 // Unix time in ns of the first byte of the request that is coming; 0: none is
+	last   atomic.Int64 // and of its latest
+	head   head         // of the request that is coming; of whoever reads the connection
 }
 
 func newCallers(l net.Listener, fresh *pool.Share) *callers {
@@ -211,17 +215,21 @@
 func (c *caller) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.began.CompareAndSwap(0, time.Now().UnixNano())
+		now := time.Now().UnixNano()
+		c.last.Store(now)
+		c.began.CompareAndSwap(0, now)
+		if c.of.heads {
+			c.head.take(p[:n])
+		}
 	}
 	return n, err
 }
 
-// start is when the request that is coming began to.
-func (c *caller) start() time.Time {
-	if began := c.began.Load(); began != 0 {
-		return time.Unix(0, began)
+// reset has the end of the connection be no end of an answer: one of HTTP/1.0 ends with it.
+func (c *caller) reset(hr *http.Request) {
+	if t, is := c.Conn.(*net.TCPConn); is && hr.ProtoMajor == 1 {
+		t.SetLinger(0)
 	}
-	return time.Now() // it came with the one before
 }
 
 // take notes that a request is taken: the connection stays until it is answered. False says that it
@@ -238,6 +246,9 @@
 	c.of.mu.Lock()
 	defer c.of.mu.Unlock()
 	c.began.Store(0)
+	if c.of.heads {
+		c.head = head{}
+	}
 	c.used = true
 	if !c.closed {
 		c.leave()
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -27,13 +27,12 @@
 	OwnDelay = 20 * time.Millisecond
 	// Arrival is how long a request may take from its first byte, or on a new connection from when that
 	// came up, to its last.
-	Arrival = 2500 * time.Millisecond
-	// drain is how long the rest of a request is read on that was turned away: a connection closed
-	// with bytes unread is reset, and the answer may be lost with it.
-	drain        = 300 * time.Millisecond
+	Arrival      = 2500 * time.Millisecond
 	idleTimeout  = 30 * time.Second
 	WriteTimeout = 5 * time.Second
 	maxHeader    = 16 << 10
+	// maxBody is the longest body that is passed on.
+	maxBody = 64 << 20
 )
 
 // Routes names the pool of a request and the class that it has there.
@@ -76,7 +75,8 @@
 // a pool has no share of its own.
 func New(l net.Listener, clock engine.Clock, routes Routes, fresh *pool.Share) *Front {
 	f := &Front{clock: clock, routes: routes, callers: newCallers(l, fresh)}
-	f.server = &http.Server{Handler: f, ReadHeaderTimeout: Arrival, IdleTimeout: idleTimeout,
+	f.callers.heads = true
+	f.server = &http.Server{Handler: f, ReadHeaderTimeout: headWithin, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, DisableGeneralOptionsHandler: true,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, callerKey{}, c)
@@ -108,6 +108,7 @@
 func NewH2(l net.Listener, clock engine.Clock, routes Routes, fresh *pool.Share, limits H2Limits) *Front {
 	limits.Streams, limits.Window = cmp.Or(limits.Streams, h2Streams), cmp.Or(limits.Window, h2Connection)
 	f := New(l, clock, routes, fresh)
+	f.callers.heads = false
 	f.server.Protocols = new(http.Protocols)
 	f.server.Protocols.SetUnencryptedHTTP2(true)
 	f.server.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: limits.Streams, MaxReadFrameSize: 16 << 10, MaxReceiveBufferPerConnection: limits.Window,
@@ -169,12 +170,23 @@
 // call is a request on its way through an engine. It implements engine.Receiver.
 type call struct {
 	engine.Call
-	answers chan engine.Answer // holds the final answer; never blocks
-	gone    atomic.Bool        // nobody will read it
+	answers chan engine.Answer   // holds the final answer; never blocks
+	began   chan *message.Stream // holds an answer that comes in pieces; never blocks
+	gone    atomic.Bool          // nobody will read it
+	rest    *rest                // of a long body; nil: none
 }
 
-// Began is not used: HTTP/1.1 servers here send whole answers.
-func (c *call) Began(r engine.Reply) { r.Release() }
+func (c *call) Began(r engine.Reply) {
+	st, is := r.(*message.Stream)
+	if !is {
+		r.Release()
+		return
+	}
+	c.began <- st
+	if c.gone.Load() {
+		c.discard()
+	}
+}
 
 func (c *call) Ended(a engine.Answer) {
 	c.answers <- a
@@ -185,6 +197,11 @@
 
 // discard releases an answer that nobody will read. Whichever of the two sides comes second finds it.
 func (c *call) discard() {
+	select {
+	case st := <-c.began:
+		st.Release()
+	default:
+	}
 	select {
 	case a := <-c.answers:
 		if a.Reply != nil {
@@ -208,44 +225,123 @@
 		return
 	}
 	from := hr.Context().Value(callerKey{}).(*caller)
+	if hr.TransferEncoding != nil && from.head.lengths > 0 {
+		// Others may see the body's end elsewhere (RFC 9112, section 6.1), and the library has dropped the length.
+		f.refuse(w, hr, from, &Refusal{Status: http.StatusBadRequest, Text: "both a length and a transfer coding"})
+		return
+	}
 	var c *call
-	p, err := f.Enter(hr, hr.ContentLength, func(p *pool.Pool, class string) (refusal *Refusal) {
+	size := bodyRoom(hr)
+	p, err := f.Enter(hr, size, func(p *pool.Pool, class string) (refusal *Refusal) {
 		c, refusal = f.check(hr, p, class)
 		return refusal
 	})
 	if err == nil {
-		defer p.Leave(hr.ContentLength)
-		err = readBody(w, hr, c, from)
+		defer p.Leave(size)
+		head := f.clock.Now()
+		err = readBody(w, hr, c)
+		read := f.clock.Now() - head // a request's time runs from its last byte
+		c.Deadline, c.Last = c.Deadline+read, c.Last+read
 	}
 	if err != nil {
-		if err.Retry {
-			w.Header().Set("Retry-After", "1")
-		}
-		if !err.Keep && hr.ProtoMajor == 1 {
-			// What follows on the connection can't be told from the rest of what was not understood.
-			from.refuse()
-			http.NewResponseController(w).SetReadDeadline(time.Now().Add(drain))
-			w.Header().Set("Connection", "close")
-		}
-		f.lead(w)
-		http.Error(w, err.Text, err.Status)
+		f.refuse(w, hr, from, err)
 		return
 	}
+	if hr.TransferEncoding != nil && !from.head.done {
+		// It came with the one before, so a length beside the coding would not have been seen.
+		w.Header().Set("Connection", "close")
+	}
 	if !from.take() {
 		panic(http.ErrAbortHandler)
 	}
 	p.Engine().Submit(&c.Call)
-	select {
-	case a := <-c.answers:
-		f.lead(w)
-		write(w, a)
-	case <-hr.Context().Done():
+	if c.rest != nil {
+		go c.rest.pump(func() { p.Engine().Arrived(&c.Call) })
+	}
+	f.answer(w, hr, p, c, from)
+}
+
+// answer writes the one answer to a call that was submitted.
+func (f *Front) answer(w http.ResponseWriter, hr *http.Request, p *pool.Pool, c *call, from *caller) {
+	var arrived chan struct{}
+	if c.rest != nil {
+		arrived = c.rest.ended
+	}
+	abort := func() {
 		p.Engine().Gone(&c.Call)
 		c.gone.Store(true)
 		c.discard()
-		// Returning would answer 200 with nothing in it, should the caller still read.
+		if c.rest != nil {
+			c.rest.leave(0)
+		}
+		from.reset(hr)
+		// Returning would answer 200 with nothing in it, or end an answer that is not whole.
 		panic(http.ErrAbortHandler)
 	}
+	for {
+		select {
+		case st := <-c.began:
+			if !f.pass(hr.Context(), w, st) {
+				abort()
+			}
+		case a := <-c.answers:
+			select {
+			case st := <-c.began: // it came first
+				if !f.pass(hr.Context(), w, st) {
+					abort()
+				}
+			default:
+				f.lead(w)
+				if c.rest != nil {
+					select {
+					case <-c.rest.ended:
+					default:
+						w.Header().Set("Connection", "close")
+					}
+				}
+				write(w, a)
+			}
+		case <-arrived:
+			if c.rest.err != nil {
+				abort()
+			}
+			arrived = nil
+			continue
+		case <-hr.Context().Done():
+			abort()
+		}
+		if c.rest != nil {
+			http.NewResponseController(w).Flush()
+			if !c.rest.leave(lingerFor) {
+				panic(http.ErrAbortHandler) // the answer is written, and nothing on the connection can be read any more
+			}
+		}
+		return
+	}
+}
+
+// refuse answers a request that is not taken.
+func (f *Front) refuse(w http.ResponseWriter, hr *http.Request, from *caller, err *Refusal) {
+	if err.Retry {
+		w.Header().Set("Retry-After", "1")
+	}
+	rc := http.NewResponseController(w)
+	f.lead(w)
+	if err.Keep || hr.ProtoMajor > 1 {
+		http.Error(w, err.Text, err.Status)
+		return
+	}
+	// What follows on the connection can't be told from the rest of what was not understood. It is read for a while, for
+	// the caller may write all of it before it looks for an answer.
+	from.refuse()
+	rc.EnableFullDuplex()
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Text, err.Status)
+	rc.Flush()
+	rc.SetReadDeadline(time.Now().Add(lingerFor))
+	if hr.ContentLength != 0 && hr.Header.Get("Expect") == "" {
+		io.Copy(io.Discard, hr.Body)
+	}
 }
 
 // Enter finds the request's pool, has check look at the request, and takes room in the pool for a body of so many
@@ -304,17 +400,12 @@
 	claim, claimed := message.ParseTimeLeft(h.Get("X-Time-Left"))
 	left := min(claim, class.Deadline)
 	switch ids, keys := h["X-Correlation-Id"], h["Idempotency-Key"]; {
-	case hr.TransferEncoding != nil:
-		// Callers that we serve tell the length; with both, others see an end where we see none.
-		return nil, &Refusal{Status: http.StatusLengthRequired, Text: "Transfer-Encoding is not taken"}
 	case len(h["Content-Length"]) > 1:
 		// The library takes the first of HTTP/2's; whoever stands behind us might take another.
 		return nil, &Refusal{Status: http.StatusBadRequest, Text: "more than one content-length"}
-	case hr.ContentLength < 0:
-		return nil, &Refusal{Status: http.StatusLengthRequired, Text: "no content-length"} // of HTTP/2, else it has a Transfer-Encoding
 	case !hr.ProtoAtLeast(1, 1) && !bodiless(hr):
 		return nil, &Refusal{Status: http.StatusHTTPVersionNotSupported, Text: "a body needs HTTP/1.1"}
-	case hr.ContentLength > message.MaxBody:
+	case hr.ContentLength > maxBody:
 		return nil, &Refusal{Status: http.StatusRequestEntityTooLarge, Text: "the body is too long"}
 	case p.GRPC():
 		return nil, &Refusal{Status: http.StatusNotImplemented, Text: "the servers of this pool speak gRPC only"}
@@ -322,7 +413,7 @@
 		return nil, &Refusal{Status: http.StatusNotFound, Text: fmt.Sprintf("no class %.40q", name)}
 	case hr.Method != method:
 		return nil, &Refusal{Status: http.StatusMethodNotAllowed, Text: "requests of this class are " + method}
-	case method == http.MethodGet && !bodiless(hr):
+	case method == http.MethodGet && hr.ContentLength > 0:
 		return nil, &Refusal{Status: http.StatusBadRequest, Text: "GET has no body"}
 	case len(ids) != 1 || ids[0] == "":
 		return nil, &Refusal{Status: http.StatusBadRequest, Text: "not one X-Correlation-Id"}
@@ -339,9 +430,9 @@
 			out.Header[name] = v
 		}
 	}
-	c := &call{answers: make(chan engine.Answer, 1)}
+	c := &call{answers: make(chan engine.Answer, 1), began: make(chan *message.Stream, 1)}
 	Describe(&c.Call, h, name, now, left)
-	c.Payload, c.To, c.Size = out, c, hr.ContentLength
+	c.Payload, c.To = out, c
 	if us, err := strconv.ParseFloat(h.Get("X-Weight-Hint"), 64); err == nil && us > 0 {
 		// More than the deadline is no guess, and would outweigh all others in the module's mean.
 		c.Cost = time.Duration(min(us*float64(time.Microsecond), float64(class.Deadline)))
@@ -358,33 +449,6 @@
 	c.Tenant, c.From = h.Get("X-Account"), h.Get(message.CallerZone)
 }
 
-// readBody reads the body. One that doesn't end must not hold its connection for good; but the limit
-// is lifted afterwards: run out once the body is in, it would pass for the caller's going away, and
-// its request would be lost.
-func readBody(w http.ResponseWriter, hr *http.Request, c *call, from *caller) *Refusal {
-	if hr.ContentLength == 0 {
-		return nil
-	}
-	rc := http.NewResponseController(w)
-	start := from.start()
-	if hr.ProtoMajor > 1 {
-		start = time.Now() // of a stream, not of its connection
-	}
-	err := rc.SetReadDeadline(start.Add(Arrival))
-	body := make([]byte, hr.ContentLength)
-	if err == nil {
-		_, err = io.ReadFull(hr.Body, body)
-	}
-	if err == nil {
-		err = rc.SetReadDeadline(time.Time{})
-	}
-	if err != nil {
-		return &Refusal{Status: http.StatusBadRequest, Text: "the body did not come whole"}
-	}
-	c.Payload.(*message.Request).Body = body
-	return nil
-}
-
 // statuses of the verdicts, by the protocol's page.
 var statuses = map[engine.Verdict]int{
 	engine.Served:    http.StatusOK,
@@ -405,10 +469,12 @@
 			h.Set("Content-Type", r.ContentType)
 		}
 	}
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("Content-Length", itoa(int64(len(body))))
 	if a.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64))
 	}
 	w.WriteHeader(statuses[a.Verdict])
 	w.Write(body) // an error means that the caller has gone
 }
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -27,6 +27,9 @@
 	claimed atomic.Bool
 }
 
+// Spent says that no further attempt can send all of it.
+func (r *Request) Spent() bool { return r.More != nil && r.claimed.Load() }
+
 // Sent says that More has been claimed.
 func (r *Request) Sent() bool { return r.claimed.Load() }
 
--- a/internal/message/stream.go
+++ b/internal/message/stream.go
@@ -35,6 +35,11 @@
 // server to send more of. So what is held is bounded by what the sender has allowed the server.
 type Stream struct {
 	Header []Field
+	// Length is how many bytes the body has of which it is the whole or the rest; -1: not told. 0 of gRPC, whose streams
+	// may be worked on for as long as they last.
+	Length int64
+	// Dropped is told of what Release gives up, and of what comes after it; nil: nobody. Set before the first Push.
+	Dropped func(n int)
 
 	consumed func(n int) // told, outside of any lock, as pieces are taken
 	wake     chan struct{}
@@ -51,13 +56,20 @@
 	return &Stream{Header: header, consumed: consumed, wake: make(chan struct{}, 1)}
 }
 
+// Transfer says that it is one answer that takes long to pass on, and no work that goes on.
+func (s *Stream) Transfer() bool { return s.Length != 0 }
+
 // Push adds a piece, which is the stream's from then on. It does not wait.
 func (s *Stream) Push(p []byte) {
 	s.mu.Lock()
-	if !s.released { // else nobody reads, and the attempt is about to be given up
+	released := s.released // nobody reads, and the attempt is about to be given up
+	if !released {
 		s.pieces = append(s.pieces, p)
 	}
 	s.mu.Unlock()
+	if released && s.Dropped != nil {
+		s.Dropped(len(p))
+	}
 	s.rouse()
 }
 
@@ -135,7 +147,14 @@
 
 // Release gives up what has not been taken, and whatever comes.
 func (s *Stream) Release() {
+	n := 0
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	for _, p := range s.pieces {
+		n += len(p)
+	}
 	s.pieces, s.released = nil, true
+	s.mu.Unlock()
+	if n > 0 && s.Dropped != nil {
+		s.Dropped(n)
+	}
 }
--- a/internal/sender/h2/h2.go
+++ b/internal/sender/h2/h2.go
@@ -233,7 +233,11 @@
 			l = append(l, client.Field{Name: strings.ToLower(k), Value: v})
 		}
 	}
-	if m.GRPC == nil && (len(m.Body) > 0 || m.Method == http.MethodPost) {
+	switch {
+	case m.GRPC != nil || m.More != nil && m.More.Length < 0:
+	case m.More != nil:
+		l = append(l, client.Field{Name: "content-length", Value: strconv.FormatInt(m.More.Length, 10)})
+	case len(m.Body) > 0 || m.Method == http.MethodPost:
 		l = append(l, client.Field{Name: "content-length", Value: strconv.Itoa(len(m.Body))})
 	}
 	return l
--- a/internal/sender/http1/http1.go
+++ b/internal/sender/http1/http1.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"time"
 
 	"hollyspur"
@@ -23,7 +24,7 @@
 	Idle        time.Duration // after which servers close idle connections; ours are closed before
 	Connect     time.Duration // within which a connection must come up
 	Connections engine.Room   // connections there may be, idle ones and dials among them
-	LongAnswers engine.Room   // bytes of answers over message.MaxBody
+	LongAnswers engine.Room   // bytes of answers that are passed on as they come
 }
 
 // Sender makes attempts over connections of its own. It implements engine.Sender; the payload is a
@@ -31,14 +32,15 @@
 type Sender struct {
 	conns
 	answers     engine.Room
-	wholeWithin time.Duration
+	quietWithin time.Duration
+	holdFor     time.Duration
 }
 
 var _ engine.Sender = (*Sender)(nil)
 
 // New returns a sender with no connections.
 func New(cfg Config) *Sender {
-	return &Sender{answers: cfg.LongAnswers, wholeWithin: wholeWithin, conns: conns{
+	return &Sender{answers: cfg.LongAnswers, quietWithin: quietWithin, holdFor: holdFor, conns: conns{
 		// Clearly before the server closes it: a request that crosses the close is lost to a reset.
 		idleFor: cfg.Idle * 3 / 4, connect: cfg.Connect, settled: settled,
 		start: time.Now(), leastKnock: leastKnock, idle: map[*engine.Endpoint][]*conn{}, room: cfg.Connections}}
@@ -65,12 +67,18 @@
 // attempt sends a once and waits for the answer until ctx ends. It writes nothing unless a.Begin
 // agrees at the moment of writing.
 func (s *Sender) attempt(ctx context.Context, a *engine.Attempt) result {
+	m := a.Payload.(*message.Request)
+	if m.Spent() {
+		return result{ending: hollyspur.Void} // what follows of its body went to another server
+	}
 	r := outgoing(a)
-	var text bytes.Buffer
-	if err := r.Write(&text); err != nil {
+	text, err := wireText(r, m)
+	if err != nil {
 		return result{ending: hollyspur.Void}
 	}
-	c, err := s.get(ctx, a.Endpoint, unsafe(a.Payload.(*message.Request)))
+	// What can be sent once is worth as much care as what may run once.
+	careful := unsafe(m) || m.More != nil
+	c, err := s.get(ctx, a.Endpoint, careful)
 	switch {
 	case err != nil && ctx.Err() == nil:
 		return result{ending: hollyspur.Unreachable}
@@ -86,8 +94,8 @@
 		return result{ending: ending}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Conn.Close() }) // all that stops an exchange
-	rest := text.Bytes()
-	if unsafe(a.Payload.(*message.Request)) && s.wary(c) {
+	rest := text
+	if careful && s.wary(c) || m.More != nil && c.kept {
 		if rest, err = c.knock(rest, s.leastKnock); err != nil && ctx.Err() == nil {
 			// No server has a request yet, so another connection makes no second attempt of it.
 			s.saw(c, true)
@@ -101,7 +109,7 @@
 				return result{ending: hollyspur.Unreachable}
 			}
 			stop = context.AfterFunc(ctx, func() { c.Conn.Close() })
-			rest, err = c.knock(text.Bytes(), s.leastKnock)
+			rest, err = c.knock(text, s.leastKnock)
 		}
 		if err != nil {
 			s.saw(c, ctx.Err() == nil)
@@ -135,7 +143,7 @@
 // server begins a request whose head is not whole (RFC 9112, section 2.1), so an error proves that it never ran.
 // rest is what is still to be written.
 func (c *conn) knock(text []byte, least time.Duration) (rest []byte, err error) {
-	n := bytes.Index(text, []byte("\r\n\r\n"))
+	n := bytes.Index(text, headEnd)
 	if n < 0 {
 		return text, nil
 	}
@@ -165,41 +173,151 @@
 	h["User-Agent"] = nil // none is better than the library's
 	h["X-Time-Left"] = []string{message.TimeLeft(a.Timeout)}
 	r := &http.Request{Method: m.Method, URL: m.URL, Host: m.Authority, Header: h, ContentLength: int64(len(m.Body))}
+	if m.More != nil {
+		r.ContentLength = m.More.Length
+	}
 	if r.Host == "" { // HTTP/1.0 callers need not name one, servers want one
 		r.Host = a.Endpoint.Addr
 	}
-	if len(m.Body) > 0 {
+	if r.ContentLength != 0 {
 		r.Body = io.NopCloser(bytes.NewReader(m.Body))
 	}
 	return r
 }
 
+// wireText is a request as it is written; of one with more to come, its head.
+func wireText(r *http.Request, m *message.Request) ([]byte, error) {
+	var text bytes.Buffer
+	err := r.Write(&text)
+	if m.More == nil {
+		return text.Bytes(), err
+	}
+	// The library finds the body shorter than told, or ends it.
+	n := bytes.Index(text.Bytes(), headEnd)
+	if n < 0 {
+		return nil, errors.Join(errors.New("no head"), err)
+	}
+	return text.Bytes()[:n+len(headEnd)], nil
+}
+
+var headEnd = []byte("\r\n\r\n")
+
 // exchange writes one request and reads its answer. keep tells whether the connection can carry
 // another.
 func (s *Sender) exchange(ctx context.Context, a *engine.Attempt, c *conn, r *http.Request, text []byte) (res result, keep bool) {
-	if _, err := c.Write(text); err != nil {
+	out, whole, err := s.write(ctx, a, c, text)
+	if err != nil {
 		// Not all of it was written, so it can't have run.
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, errBrokenOff) || errors.Is(err, errSpent) {
 			return result{ending: hollyspur.Void}, false
 		}
 		return result{ending: hollyspur.Unreachable}, false
 	}
-	a.Crossed(r.ContentLength, 0, "")
-	resp, reply, err := s.read(c, r)
+	a.Crossed(out, 0, "")
+	got, err := s.read(ctx, a, c, r)
 	if err != nil {
+		if !whole {
+			return result{ending: hollyspur.Unreachable}, false
+		}
 		return result{ending: engine.EndingOf(ctx)}, false
 	}
-	switch {
+	if got.reply == nil {
+		a.Crossed(out, got.size, "")
+	}
+	switch resp := got.resp; {
 	case resp.StatusCode == http.StatusOK:
-		res = result{hollyspur.Success, reply}
+		res = result{hollyspur.Success, got.reply}
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Unprocessed") == "1":
 		res.ending = hollyspur.Overloaded
 	default:
 		res.ending = hollyspur.Failure
 	}
-	if res.reply == nil {
-		reply.Release()
+	return res, whole && !got.resp.Close && c.r.Buffered() == 0 && c.SetReadDeadline(time.Time{}) == nil
+}
+
+// write writes a request, whose head or whole text is given. whole: to its end; else the server answered before that, and
+// the answer is there to be read.
+func (s *Sender) write(ctx context.Context, a *engine.Attempt, c *conn, text []byte) (out int64, whole bool, err error) {
+	m := a.Payload.(*message.Request)
+	if m.More == nil {
+		_, err := c.Write(text)
+		return int64(len(m.Body)), true, err
+	}
+	if !m.Claim() {
+		return 0, false, errSpent
+	}
+	return s.upload(ctx, c, text, m)
+}
+
+var errSpent = errors.New("its body has gone elsewhere")
+
+// writeQuiet is how long a server may take nothing of a long request.
+const writeQuiet = 10 * time.Second
+
+// upload writes a request whose body comes as its caller sends it. A server that answers before the end is heard.
+func (s *Sender) upload(ctx context.Context, c *conn, head []byte, m *message.Request) (out int64, whole bool, err error) {
+	writing, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	c.limit.N = maxHeads
+	early := make(chan error, 1)
+	go func() {
+		_, err := c.r.Peek(1)
+		if writing.Err() == nil {
+			stop(errEarly)
+			c.SetWriteDeadline(time.Now()) // wakes a write that waits
+		}
+		early <- err
+	}()
+	var w io.Writer = deadlined{c.Conn}
+	if _, err = w.Write(head); err == nil {
+		if m.More.Length < 0 {
+			w = httputil.NewChunkedWriter(w)
+		}
+		for p := m.Body; err == nil && len(p) > 0; {
+			if _, err = w.Write(p); err == nil {
+				out += int64(len(p))
+				p, err = m.More.Next(writing)
+			}
+		}
+	}
+	if err == nil && m.More.Trailer() == nil {
+		err = errBrokenOff
+	}
+	if err == nil && m.More.Length < 0 {
+		if err = w.(io.Closer).Close(); err == nil {
+			_, err = c.Write([]byte("\r\n"))
+		}
+	}
+	if err == nil {
+		// It is written. What the goroutine is looking for is the answer.
+		stop(nil)
+	} else if context.Cause(writing) != errEarly {
+		c.SetReadDeadline(time.Now())
+		<-early
+		return out, false, err
+	}
+	wrote := err == nil
+	if err := <-early; err != nil {
+		if wrote {
+			return out, true, nil // the reader meets the same end, and says what it means
+		}
+		return out, false, err
+	}
+	return out, wrote, c.SetWriteDeadline(time.Time{})
+}
+
+var (
+	errEarly     = errors.New("the server answered before the request's end")
+	errBrokenOff = errors.New("the request broke off")
+)
+
+// deadlined writes to a server that may not rest for long.
+type deadlined struct{ net.Conn }
+
+func (d deadlined) Write(p []byte) (int, error) {
+	if err := d.SetWriteDeadline(time.Now().Add(writeQuiet)); err != nil {
+		return 0, err
 	}
-	return res, !resp.Close && c.r.Buffered() == 0 && c.SetReadDeadline(time.Time{}) == nil
+	return d.Conn.Write(p)
 }
--- a/internal/sender/http1/read.go
+++ b/internal/sender/http1/read.go
@@ -1,25 +1,35 @@
 package http1
 
 import (
+	"bufio"
+	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
+	"sync"
 	"time"
 
+	"hollyspur/internal/engine"
 	"hollyspur/internal/message"
 )
 
 // Bounds of an answer, lest a spoilt one takes memory without end or the rest of its request's time.
 const (
+	// maxBody is the most that is kept whole, so that an answer which turns out spoilt can be followed by another attempt.
+	// What is longer goes on as it comes.
 	maxBody = message.MaxBody
-	// maxAnswer is the most that is taken of servers which do not keep to maxBody, as long as there is
-	// room for it: to the caller such an answer is as good, and all servers give the same.
-	maxAnswer = 16 * maxBody
-	maxHeads  = 32 << 10    // bytes of the head and any interim ones before it
-	maxWire   = 4 * maxBody // bytes of a body in chunks with their framing
-	// wholeWithin is how long an answer takes from its first byte to its last: it is written at once.
-	// One over maxBody has so long for each.
-	wholeWithin = 500 * time.Millisecond
+	// maxAnswer is the most that is passed on of one answer.
+	maxAnswer = 64 << 20
+	maxHeads  = 32 << 10 // bytes of the head and any interim ones before it
+	// quietWithin is how long a server that has begun an answer which is kept whole may say nothing.
+	quietWithin = 500 * time.Millisecond
+	// streamQuiet is the same for one that is passed on as it comes: nothing can take its place.
+	streamQuiet = 10 * time.Second
+	// holdFor is how long an answer of untold length is kept back, in case it is short: longer would hold back what the
+	// server gives.
+	holdFor = 100 * time.Millisecond
 )
 
 var (
@@ -27,65 +37,243 @@
 	errTooLong  = errors.New("the answer is too long")
 )
 
-// read reads a whole answer. An error says that what came is none, whatever its head said of whether
-// the request has run.
-func (s *Sender) read(c *conn, r *http.Request) (*http.Response, *message.Reply, error) {
+// answer is what came back. Its reply is nil if what came was passed on, or said nothing that a caller wants.
+type answer struct {
+	resp  *http.Response
+	reply *message.Reply
+	size  int64 // bytes of its body
+}
+
+// read reads an answer, and passes a long one on as it comes. An error says that what came is none, whatever its head
+// said of whether the request has run.
+func (s *Sender) read(ctx context.Context, a *engine.Attempt, c *conn, r *http.Request) (answer, error) {
 	c.limit.N = maxHeads
 	for {
 		if _, err := c.r.Peek(1); err != nil {
-			return nil, nil, err
+			return answer{}, err
 		}
-		if err := c.SetReadDeadline(time.Now().Add(s.wholeWithin)); err != nil {
-			return nil, nil, err
+		if err := c.SetReadDeadline(time.Now().Add(s.quietWithin)); err != nil {
+			return answer{}, err
 		}
+		close := saysClose(c.r)
 		resp, err := http.ReadResponse(c.r, r)
 		if err != nil {
-			return nil, nil, err
+			return answer{}, err
 		}
 		if resp.StatusCode < 200 { // an interim answer, after which the server may take its time
 			if err := c.SetReadDeadline(time.Time{}); err != nil {
-				return nil, nil, err
+				return answer{}, err
 			}
 			continue
 		}
-		reply, err := s.readBody(c, resp)
-		return resp, reply, err
+		return s.readBody(ctx, a, c, resp, close)
+	}
+}
+
+// quiet reads a body from a server that may not rest for longer than so long.
+type quiet struct {
+	c      *conn
+	body   io.Reader
+	within time.Duration
+}
+
+func (q quiet) Read(p []byte) (int, error) {
+	if err := q.c.SetReadDeadline(time.Now().Add(q.within)); err != nil {
+		return 0, err
 	}
+	return q.body.Read(p)
 }
 
-func (s *Sender) readBody(c *conn, resp *http.Response) (*message.Reply, error) {
-	n, kind := resp.ContentLength, resp.Header.Get("Content-Type")
+func (s *Sender) readBody(ctx context.Context, a *engine.Attempt, c *conn, resp *http.Response, close bool) (answer, error) {
+	n := resp.ContentLength
+	if n < 0 && len(resp.TransferEncoding) == 0 && !close && resp.ProtoAtLeast(1, 1) {
+		// Framed by the connection's end without a word of that, it can't be told from one that was cut short.
+		return answer{}, errUnframed
+	}
+	if n > maxAnswer {
+		return answer{}, errTooLong
+	}
+	body := quiet{c, resp.Body, s.quietWithin}
 	switch {
-	case n < 0 && len(resp.TransferEncoding) == 0:
-		// Framed by the connection's end, it can't be told from one that was cut short.
-		return nil, errUnframed
-	case n < 0:
-		c.limit.N = maxWire
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-		if err == nil && len(body) > maxBody {
+	case resp.StatusCode != http.StatusOK:
+		c.limit.N = maxAnswer / 64
+		size, err := io.Copy(io.Discard, body)
+		return answer{resp: resp, size: size}, err
+	case n >= 0 && n <= maxBody:
+		c.limit.N = n
+		whole := make([]byte, n)
+		_, err := io.ReadFull(body, whole)
+		return answer{resp, message.NewReply(resp.Header.Get("Content-Type"), whole, nil), n}, err
+	}
+	c.limit.N = 2 * maxAnswer // of a body in chunks with their framing
+	reply, size, err := s.passOn(ctx, a, quiet{c, resp.Body, streamQuiet}, resp)
+	return answer{resp, reply, size}, err
+}
+
+// saysClose says that the head which comes announces that the connection is closed behind the answer. The library drops
+// that word, and says the same of an answer whose length is told nowhere. A head over the reader's buffer announces nothing.
+func saysClose(r *bufio.Reader) bool {
+	for n := 1; ; n = r.Buffered() + 1 {
+		if _, err := r.Peek(n); err != nil {
+			return false
+		}
+		head, _ := r.Peek(r.Buffered())
+		if end := bytes.Index(head, headEnd); end >= 0 {
+			return connectionClose.Match(head[:end+2])
+		}
+	}
+}
+
+var connectionClose = regexp.MustCompile(`(?i)\nconnection:(?:[^\n]*,)?[ \t]*close[ \t]*(?:,[^\n]*)?\r\n`)
+
+const (
+	// piece is how much is read at a time, and least so much where the room for answers is used up: less than all of them
+	// can go on with together would be a deadlock.
+	piece = 16 << 10
+	least = 2 << 10
+	// ahead is how much of an answer may wait for its caller: over maxBody, or one of untold length could not be told to
+	// be longer.
+	ahead = maxBody + piece
+)
+
+var pieces = sync.Pool{New: func() any { return new([piece]byte) }}
+
+// passOn hands the body on as it comes. An answer of untold length that ends soon and is short is kept whole instead,
+// and is the reply.
+func (s *Sender) passOn(ctx context.Context, a *engine.Attempt, body io.Reader, resp *http.Response) (reply *message.Reply, size int64, err error) {
+	h := []message.Field{}
+	if v := resp.Header.Get("Content-Type"); v != "" {
+		h = append(h, message.Field{Name: "content-type", Value: v})
+	}
+	f := newFlow(s.answers, h, resp.ContentLength)
+	begin := &beginning{a: a, f: f}
+	if resp.ContentLength < 0 {
+		timer := time.AfterFunc(s.holdFor, func() { begin.now() })
+		defer timer.Stop()
+	}
+	buf := pieces.Get().(*[piece]byte)
+	defer pieces.Put(buf)
+	for {
+		room, err := f.wait(ctx)
+		if err != nil {
+			begin.end(false)
+			return nil, size, err
+		}
+		n, err := body.Read(buf[:room])
+		f.unused(room - n)
+		if size += int64(n); n > 0 {
+			f.Push(append([]byte(nil), buf[:n]...))
+		}
+		if size > maxAnswer {
 			err = errTooLong
 		}
-		return message.NewReply(kind, body, nil), err
-	case n > maxAnswer:
-		return nil, errTooLong
-	case n <= maxBody:
-		c.limit.N = n
-		body := make([]byte, n)
-		_, err := io.ReadFull(resp.Body, body)
-		return message.NewReply(kind, body, nil), err
+		if err == io.EOF {
+			if begin.end(true) {
+				return nil, size, nil
+			}
+			return message.NewReply(resp.Header.Get("Content-Type"), f.Drain(), nil), size, nil
+		}
+		if err != nil {
+			begin.end(false)
+			return nil, size, err
+		}
+		if size > maxBody || resp.ContentLength > maxBody && n > 0 {
+			begin.now()
+		}
 	}
-	if !s.answers.Take(n) {
-		return nil, errTooLong
+}
+
+// beginning says once that a streamed answer begins, unless it has ended before.
+type beginning struct {
+	a *engine.Attempt
+	f *flow
+
+	mu           sync.Mutex // guards below
+	begun, ended bool
+}
+
+func (b *beginning) now() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.begun && !b.ended {
+		b.begun = true
+		b.a.Began(b.f.Stream)
 	}
-	reply := message.NewReply(kind, make([]byte, n), s.answers)
-	err := c.SetReadDeadline(time.Now().Add(s.wholeWithin * time.Duration(1+n/maxBody)))
-	if err == nil {
-		c.limit.N = n
-		_, err = io.ReadFull(resp.Body, reply.Body)
+}
+
+// end ends the answer; true if it had begun.
+func (b *beginning) end(whole bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+	switch {
+	case b.begun && whole:
+		b.f.Finish([]message.Field{})
+	case b.begun:
+		b.f.Finish(nil)
+	case !whole:
+		b.f.Release()
+	}
+	return b.begun
+}
+
+// flow is a stream whose pieces take room of a budget that all share.
+type flow struct {
+	*message.Stream
+	room engine.Room
+	wake chan struct{}
+
+	mu    sync.Mutex // guards below
+	held  int        // bytes that wait to be taken, or are about to be read
+	taken int        // of those, what the budget gave
+}
+
+func newFlow(room engine.Room, header []message.Field, length int64) *flow {
+	f := &flow{room: room, wake: make(chan struct{}, 1)}
+	f.Stream = message.NewStream(header, f.give)
+	f.Stream.Length, f.Stream.Dropped = length, f.give
+	return f
+}
+
+// wait waits until more may be read, and says how much.
+func (f *flow) wait(ctx context.Context) (int, error) {
+	for {
+		f.mu.Lock()
+		switch {
+		case f.held+piece <= ahead && f.room.Take(piece):
+			f.held += piece
+			f.taken += piece
+			f.mu.Unlock()
+			return piece, nil
+		case f.held == 0:
+			f.held += least
+			f.mu.Unlock()
+			return least, nil
+		}
+		f.mu.Unlock()
+		select {
+		case <-f.wake:
+		case <-ctx.Done():
+			return 0, context.Cause(ctx)
+		}
+	}
+}
+
+// unused gives back what was not read after all.
+func (f *flow) unused(n int) { f.give(n) }
+
+// give gives back what has been taken or dropped.
+func (f *flow) give(n int) {
+	f.mu.Lock()
+	f.held -= n
+	back := max(0, f.taken-f.held)
+	f.taken -= back
+	f.mu.Unlock()
+	if back > 0 {
+		f.room.Give(int64(back))
 	}
-	if err != nil {
-		reply.Release()
-		return nil, err
+	select {
+	case f.wake <- struct{}{}:
+	default:
 	}
-	return reply, nil
 }
--- a/policy.go
+++ b/policy.go
@@ -480,12 +480,7 @@
 		return
 	}
 	r.held = false
-	for i, h := range b.held {
-		if h == r {
-			b.held = append(b.held[:i], b.held[i+1:]...)
-			return
-		}
-	}
+	b.held = slices.DeleteFunc(b.held, func(h *request) bool { return h == r })
 }
 
 // heldUntil is when a held request is looked at again.
@@ -535,7 +530,34 @@
 	for _, a := range r.attempts {
 		if a.n != e.Attempt {
 			b.cancel(a)
+		} else {
+			a.began = b.now
+			b.settle(a, Outcome{Attempt: a.n, Ending: Success})
+			if e.Transfer {
+				b.free(a)
+				b.release()
+			}
+		}
+	}
+}
+
+// free counts a call off, once: when it ends, or when its server has done all but hand the answer over.
+func (b *Balancer) free(a *attempt) {
+	if !a.freed {
+		a.freed = true
+		b.inFlight--
+		a.srv.calls--
+	}
+}
+
+// settle ends the wait for an attempt's answer, which has come or begun.
+func (b *Balancer) settle(a *attempt, e Outcome) {
+	if i := slices.Index(a.srv.open, a); i >= 0 {
+		// A hung server's waits tell nothing of how crowded the others are.
+		if !b.silent(a.srv) {
+			b.steer(a.req, e)
 		}
+		a.srv.open = slices.Delete(a.srv.open, i, i+1)
 	}
 }
 
@@ -554,25 +576,16 @@
 	a.ended = true
 	a.unsent = e.Ending == Overloaded || e.Ending == Unreachable || e.Ending == Void
 	r.out--
-	b.inFlight--
-	a.srv.calls--
-	for i, o := range a.srv.open {
-		if o == a {
-			// A hung server's waits tell nothing of how crowded the others are.
-			if !b.silent(a.srv) {
-				b.steer(r, e)
-			}
-			a.srv.open = append(a.srv.open[:i], a.srv.open[i+1:]...)
-			break
-		}
-	}
+	b.free(a)
+	r.spent = r.spent || e.Spent
+	b.settle(a, e)
 	b.judge(a, e)
 	if !a.srv.listed && a.srv.calls == 0 && b.servers[a.srv.ID] == a.srv {
 		delete(b.servers, a.srv.ID)
 	}
 	switch {
 	case e.Ended:
-		if e.Ending == Success && !r.answered && b.now <= r.arrived+r.class.Aim {
+		if e.Ending == Success && !r.answered && a.sent+a.took(b.now) <= r.arrived+r.class.Aim {
 			r.class.serve++
 			if r.quota != nil && !r.over {
 				r.quota.serve++
@@ -756,12 +769,7 @@
 
 // tried says that the request has been to the server before.
 func tried(r *request, s *server) bool {
-	for _, a := range r.attempts {
-		if a.srv == s {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.srv == s })
 }
 
 // inScope keeps a keyed request that may have run to the servers that discard its repeats.
@@ -809,7 +817,7 @@
 // judge learns from an ending: the class's latency, the server's health relative to its peers.
 func (b *Balancer) judge(a *attempt, e Outcome) {
 	s, c := a.srv, a.req.class
-	took := float64(b.now - a.sent)
+	took := float64(a.took(b.now))
 	bad := 0.0
 	if e.Ending == Success || e.Ending == Failure {
 		s.took = max(s.took, a.sent)
@@ -943,7 +951,7 @@
 
 // maySendAgain says that the class's effect and the limits allow one more attempt now.
 func (b *Balancer) maySendAgain(r *request) bool {
-	if r.answered || r.streaming || len(r.attempts) >= max(1, b.set.MaxAttempts) {
+	if r.answered || r.streaming || r.spent || len(r.attempts) >= max(1, b.set.MaxAttempts) {
 		return false
 	}
 	for _, a := range r.attempts {
@@ -1180,12 +1188,7 @@
 
 // starved says that of all quotas this one is served worst.
 func (b *Balancer) starved(q *quota) bool {
-	for _, o := range b.quotaList {
-		if o.worse(q.service) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(b.quotaList, func(o *quota) bool { return o.worse(q.service) })
 }
 
 // asked counts a tenant's request. Of more than maxTenants the one that asked least of late is forgotten, so
--- a/state.go
+++ b/state.go
@@ -133,6 +133,7 @@
 	held      bool
 	answered  bool
 	streaming bool
+	spent     bool // it can't be sent again
 	wake      time.Duration
 }
 
@@ -144,6 +145,16 @@
 	sent   time.Duration
 	zone   string
 	cell   int
+	began  time.Duration // its streamed answer did; 0: none has
+	freed  bool          // it counts no more as a call of ours
 	ended  bool
 	unsent bool // proven never to have run
 }
+
+// took is how long the attempt's answer was waited for, until now or until it began.
+func (a *attempt) took(now time.Duration) time.Duration {
+	if a.began > 0 {
+		now = a.began
+	}
+	return now - a.sent
+}
