Callers: what rests longest makes room, not what has been coming longest

Change: idle connections make room first, then the one of whose request nothing has come for longest, over 500 ms. While callers are led away, halves of requests that rest over 2.2 s are closed, too.

Ruled out: descriptors (111 of 192), memory (6 of 32 MB). Test: TestWhoMakesRoom.

--- a/internal/front/http1/callers.go
+++ b/internal/front/http1/callers.go
@@ -53,7 +53,8 @@
 	roomPause   = 20 * time.Millisecond
 	// fresh is how long a connection may be quiet before it counts as of no use: callers connect to ask.
 	fresh = 100 * time.Millisecond
-	// stalled is how long a request may have been coming before its connection counts as of no use.
+	// stalled is how long nothing may have come of a request that is coming before its connection counts as of no use. A
+	// caller may take seconds for a request, but goes on with it.
 	stalled = 500 * time.Millisecond
 )
 
@@ -88,8 +89,8 @@
 	return c, nil
 }
 
-// makeRoom closes a connection that is of no use; false if there is none. Only what a share has
-// borrowed makes room: its minimum is kept for it.
+// makeRoom closes a connection that is of no use; false if there is none. Only what a share has borrowed makes room: its
+// minimum is kept for it. Of a share's, those on which nothing comes go first, then the one whose request rests longest.
 func (l *callers) makeRoom() bool {
 	var best *caller
 	var most int64
@@ -98,11 +99,8 @@
 		if borrowed <= most {
 			continue
 		}
-		for e := quiet.Front(); e != nil; e = e.Next() {
-			if c := e.Value.(*caller); c.useless() {
-				best, most = c, borrowed
-				break
-			}
+		if c := useless(quiet); c != nil {
+			best, most = c, borrowed
 		}
 	}
 	if best == nil {
@@ -112,12 +110,21 @@
 	return true
 }
 
-// useless says that nothing comes on a quiet connection, or hasn't been coming to an end.
-func (c *caller) useless() bool {
-	if began := c.began.Load(); began != 0 {
-		return time.Since(time.Unix(0, began)) > stalled
+// useless finds the quiet connection that is of least use; nil: all may be of some.
+func useless(quiet *list.List) (least *caller) {
+	now := time.Now()
+	oldest := now.Add(-stalled).UnixNano()
+	for e := quiet.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*caller)
+		if c.began.Load() == 0 {
+			if now.Sub(c.since) > fresh && peek.At(c.Conn) != nil { // else a request is there, yet unread
+				return c
+			}
+		} else if last := c.last.Load(); last < oldest {
+			least, oldest = c, last
+		}
 	}
-	return time.Since(c.since) > fresh && peek.At(c.Conn) != nil // else a request is there, yet unread
+	return least
 }
 
 // settle puts the connection among the quiet ones.
@@ -178,6 +185,9 @@
 // may be on the way, which a close would only send to another.
 const fresher = time.Second
 
+// rested is the same for one of which nothing more comes.
+const rested = 2200 * time.Millisecond
+
 // leadAway closes the connections on which no request is and none is coming.
 func (l *callers) leadAway() {
 	l.mu.Lock()
@@ -186,7 +196,8 @@
 	for _, quiet := range l.quiet {
 		for e := quiet.Front(); e != nil; e = e.Next() {
 			c := e.Value.(*caller)
-			if c.began.Load() == 0 && (c.used || time.Since(c.since) > fresher) && peek.At(c.Conn) != nil {
+			idle := c.began.Load() == 0 && (c.used || time.Since(c.since) > fresher)
+			if (idle || c.began.Load() != 0 && time.Since(time.Unix(0, c.last.Load())) > rested) && peek.At(c.Conn) != nil {
 				away = append(away, c)
 			}
 		}
@@ -262,6 +273,7 @@
 	c.of.mu.Lock()
 	defer c.of.mu.Unlock()
 	c.began.Store(1)
+	c.last.Store(1)
 	if c.place != nil {
 		c.of.quiet[c.share].MoveToFront(c.place)
 		c.of.hasRoom()
--- a/internal/front/http1/callers_test.go
+++ b/internal/front/http1/callers_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"hollyspur/internal/pool"
 	"hollyspur/internal/testkit"
@@ -56,3 +57,53 @@
 		t.Errorf("Serve: %v", err)
 	}
 }
+
+// Connections on which nothing comes make room first, then the one whose request rests longest; one whose request goes on
+// coming stays, however long it takes.
+func TestWhoMakesRoom(t *testing.T) {
+	t.Parallel()
+	const most = 4
+	b := pool.NewBudget(most)
+	share := b.NewShare()
+	if err := b.Configure(most, map[*pool.Share]pool.Quota{share: {}}); err != nil {
+		t.Fatal(err)
+	}
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	l := newCallers(inner, share)
+	accept := func() *caller {
+		nc, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c.(*caller)
+	}
+	ago := func(d time.Duration) int64 { return time.Now().Add(-d).UnixNano() }
+	slow, stuck, older, idle := accept(), accept(), accept(), accept()
+	slow.began.Store(ago(time.Minute))
+	slow.last.Store(ago(stalled / 4))
+	stuck.began.Store(ago(2 * time.Second))
+	stuck.last.Store(ago(2 * time.Second))
+	older.began.Store(ago(3 * time.Second))
+	older.last.Store(ago(time.Second))
+	idle.since = time.Now().Add(-2 * fresh)
+	for i, want := range []*caller{idle, stuck, older} {
+		busy := accept()
+		busy.take()
+		if !want.closed || slow.closed {
+			t.Errorf("for connection %d: not the one wanted was closed (the slow one: %v)", i, slow.closed)
+		}
+	}
+	if l.mu.Lock(); l.makeRoom() {
+		t.Error("one whose request goes on coming was closed")
+	}
+	l.mu.Unlock()
+}
