--- a/cmd/cranegrade/main.go
+++ b/cmd/cranegrade/main.go
@@ -40,7 +40,7 @@
 
 func main() {
 	program.Main(node.Options{XDS: openXDS, ExtProc: newExtProc, ZoneStore: openZoneStore, H2: newH2, GRPC: newGRPC},
-		proxyCheckCommand, proxyConfigCommand, zonesCommand)
+		proxyCheckCommand, proxyConfigCommand, zonesCommand, opsCommand)
 }
 
 // openXDS dials the control planes of an operator's file.
--- a/cmd/drill/drill_test.go
+++ b/cmd/drill/drill_test.go
@@ -85,6 +85,19 @@
 	}
 }
 
+// A ban that is forgotten is found, and so are the four in the drill of operators.
+func TestPlantsOfOperators(t *testing.T) {
+	for plant, key := range map[string]string{"ban": "after_ban", "lost": "lost", "twice": "twice", "drain": "drain_late", "cold": "cold_over"} {
+		t.Run(plant, func(t *testing.T) {
+			t.Parallel()
+			got, code := drill(t, "-plant", plant, "operators")
+			if code != 1 || got[key].(float64) == 0 {
+				t.Errorf("exit %d, %v", code, got)
+			}
+		})
+	}
+}
+
 func TestUsage(t *testing.T) {
 	for _, args := range [][]string{{}, {"nothing"}, {"-plant", "weeds", "tour"}, {"-colour", "tour"}, {"tour", "pools"}} {
 		var stdout, stderr bytes.Buffer
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -58,6 +58,7 @@
 	{"grpc", "the same in gRPC, reads answered in pieces", 8 * time.Second, grpcDrill(0)},
 	{"grpc-chaos", "the same, and servers break one answer in ten: midway, without a status, in false lengths", 8 * time.Second, grpcDrill(0.1)},
 	{"zones", "three zones: home turns slow, fails whole and comes back cold; a budget; the account against the servers' records", 12 * time.Second, zonesDrill},
+	{"operators", "an operators' day: servers taken out and restarted, clients sent away, upgrades, a long answer over one of them", 12 * time.Second, operators},
 	{"load", "requests a second, times and CPU of the node on one core; with -vs against another program, in pairs", 20 * time.Second, load},
 }
 
--- /dev/null
+++ b/cmd/drill/operators.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"hollyspur/internal/opsport"
+	"hollyspur/internal/standin"
+)
+
+// ban is a time for which a server is taken out by hand, by the records' clock.
+type ban struct {
+	server   string
+	from, to time.Duration // from the yes to the call back; to 0: it lasts
+}
+
+// isOut names a server that is out now: that one, or "" for any; "" if none is.
+func (r *rig) isOut(server string) string {
+	r.bansMu.Lock()
+	defer r.bansMu.Unlock()
+	for _, b := range r.bans {
+		if b.to == 0 && (server == "" || b.server == server) {
+			return b.server
+		}
+	}
+	return ""
+}
+
+// banned judges the bans: nothing may begin at a server from the grace after the yes until the call back.
+func (r *rig) banned(v standin.View) (late int) {
+	r.bansMu.Lock()
+	defer r.bansMu.Unlock()
+	for _, b := range r.bans {
+		for _, a := range v.Arrivals {
+			if a.Server == b.server && a.First > b.from+250*time.Millisecond+r.slack && (b.to == 0 || a.First < b.to) {
+				late++
+				r.failf("%s got %s %v after it was taken out", b.server, a.ID, a.First-b.from)
+			}
+		}
+	}
+	return late
+}
+
+// call makes an operator's call at a program, and wants a yes within the second.
+func (r *rig) call(p *program, verb opsport.Verb, id string) {
+	addr, err := p.operators()
+	if err != nil {
+		r.failf("%v", err)
+		return
+	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	yes, text, err := opsport.Ask(ctx, addr, opsport.Call{Verb: verb, ID: id})
+	took := time.Since(began)
+	if err != nil || !yes || took > time.Second+10*r.slack {
+		r.failf("%s %s: %v %q after %v, %v", verb, id, yes, text, took, err)
+	}
+	r.bansMu.Lock()
+	defer r.bansMu.Unlock()
+	r.calls++
+	switch now := r.rec.Now(); verb {
+	case opsport.SetDown:
+		r.bans = append(r.bans, ban{server: id, from: now})
+	case opsport.SetUp:
+		for i := range r.bans {
+			if r.bans[i].server == id && r.bans[i].to == 0 {
+				r.bans[i].to = now - took // what is sent from the call on is no breach
+			}
+		}
+	}
+}
+
+// operators is the address where a program takes operators' calls.
+func (p *program) operators() (addr string, err error) {
+	if await(10*time.Second, func() bool {
+		_, after, is := strings.Cut(p.tail(), "operators call on ")
+		addr, _, _ = strings.Cut(after, "\n")
+		return is
+	}) {
+		return addr, nil
+	}
+	return "", errors.New("the program takes no operators' calls")
+}
+
+// upgrade starts the program again beside itself, and ends the old one once the new one says yes.
+func (r *rig) upgrade(file string) error {
+	path := filepath.Join(r.dir, fmt.Sprintf("node-%d.toml", time.Now().UnixNano()))
+	if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
+		return err
+	}
+	next, err := startProgram(r.program, path)
+	if err != nil {
+		return err
+	}
+	old := r.node
+	addr, err := next.operators()
+	if err != nil {
+		return err
+	}
+	if !await(6*time.Second, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		yes, _, err := opsport.Ask(ctx, addr, opsport.Call{Verb: opsport.Check})
+		return yes && err == nil
+	}) {
+		return errors.New("the new process does not say yes")
+	}
+	r.node = next
+	began := time.Now()
+	old.stop()
+	if code := old.cmd.ProcessState.ExitCode(); code != 0 {
+		r.failf("the process before ended with %d:\n%s", code, old.tail())
+	}
+	r.bansMu.Lock()
+	r.gaveWay = append(r.gaveWay, time.Since(began))
+	r.bansMu.Unlock()
+	return nil
+}
+
+// operators plays a day of operators: a server is taken out, restarted while it is out and called back cold, over an
+// upgrade; clients are sent away and come back; two upgrades more.
+func operators(ctx context.Context, r *rig) error {
+	g, err := r.group("app", "app.example.org", inCell(usual, 0), inCell(usual, 0), inCell(usual, 1), inCell(usual, 1))
+	if err != nil {
+		return err
+	}
+	state := filepath.Join(r.dir, "state")
+	if err := os.Mkdir(state, 0o700); err != nil {
+		return err
+	}
+	file := func(listen string) string {
+		return fmt.Sprintf("listen = [%q]\noperator = \"127.0.0.1:0\"\nstate = %q\ndefault = \"app\"\n%s", listen, state, poolText("app", g.registryText()))
+	}
+	if err := r.start(file("127.0.0.1:0")); err != nil {
+		return err
+	}
+	if err := r.settle(g); err != nil {
+		return err
+	}
+	addr := r.node.addr
+	var faults sync.WaitGroup
+	var upgrading sync.Mutex // r.node changes under it
+	upgrade := func() {
+		upgrading.Lock()
+		defer upgrading.Unlock()
+		if err := r.upgrade(file(addr)); err != nil {
+			r.failf("upgrade: %v", err)
+		}
+	}
+	call := func(verb opsport.Verb, id string) {
+		upgrading.Lock()
+		defer upgrading.Unlock()
+		r.call(r.node, verb, id)
+	}
+	out := g.servers[0]
+	r.at(ctx, &faults, 0.08, func() { call(opsport.SetDown, out.ID()) })
+	if r.plant == "" {
+		r.at(ctx, &faults, 0.2, upgrade)
+		r.at(ctx, &faults, 0.3, func() {
+			out.Crash()
+			time.Sleep(300 * time.Millisecond)
+			if err := out.Restart(); err == nil {
+				g.registry.Set(out, "SERVING") // it still may not be used
+			}
+		})
+		r.at(ctx, &faults, 0.45, func() { call(opsport.SetUp, out.ID()) })
+		r.at(ctx, &faults, 0.5, func() { call(opsport.DrainOn, "") })
+		r.at(ctx, &faults, 0.55, upgrade)
+		r.at(ctx, &faults, 0.65, func() { call(opsport.DrainOff, "") })
+		r.at(ctx, &faults, 0.75, upgrade)
+	}
+	if err := r.play(ctx, &faults,
+		standin.Stream{Host: g.host, Class: readClass, Rate: 150},
+		standin.Stream{Host: g.host, Class: sendClass, Rate: 60, Body: 200},
+		standin.Stream{Host: g.host, Class: cellClass, Rate: 30, Body: 60_000},
+		standin.Stream{Host: g.host, Class: orderClass, Rate: 30, Body: 500}); err != nil {
+		return err
+	}
+	v := r.rec.View()
+	late := r.banned(v)
+	back := 0
+	r.bansMu.Lock()
+	for _, a := range v.Arrivals {
+		for _, b := range r.bans {
+			if a.Server == b.server && b.to > 0 && a.First >= b.to {
+				back++
+			}
+		}
+	}
+	r.figure("calls", r.calls, "of operators, each answered yes within the second")
+	r.figure("after_ban", late, "requests that began at a server while it was taken out")
+	r.figure("after_call_back", back, "requests at the server that was called back")
+	for _, t := range r.gaveWay {
+		r.figure("gave_way_ms", t, "from SIGTERM until the process before had ended")
+	}
+	r.bansMu.Unlock()
+	if r.plant == "" && back == 0 {
+		r.failf("the server that was called back got nothing")
+	}
+	crossed := 0
+	for _, x := range v.Exchanges {
+		if x.Crossed {
+			crossed++
+		}
+	}
+	r.figure("crossed", crossed, "requests that crossed the close of a kept connection, and were sent once more")
+	r.tables = append(r.tables, streamTable(v), serverTable(v))
+	return nil
+}
--- a/cmd/drill/plant.go
+++ b/cmd/drill/plant.go
@@ -16,7 +16,7 @@
 // plants commit a breach of each rule on the path between the program and what stands outside. A drill
 // that does not find it is at fault.
 var plants = map[string]func(context.Context, *rig) error{
-	"lost": plantLost, "twice": plantTwice, "drain": plantDrain, "cold": plantCold,
+	"lost": plantLost, "twice": plantTwice, "drain": plantDrain, "cold": plantCold, "ban": plantBan,
 }
 
 func plantNames() (l []string) {
@@ -173,3 +173,24 @@
 	all.Wait()
 	return nil
 }
+
+// plantBan sends to a server that the drill has taken out, as a node that forgot the ban would.
+func plantBan(ctx context.Context, r *rig) error {
+	x, a, c, err := r.served(readClass)
+	if err != nil {
+		return err
+	}
+	if !await(plantTime, func() bool { return r.isOut("") != "" }) {
+		return errors.New("this drill takes no server out by hand")
+	}
+	select {
+	case <-time.After(time.Second + r.slack):
+	case <-ctx.Done():
+	}
+	for _, s := range r.home(a.Host).servers {
+		if r.isOut(s.ID()) != "" {
+			return standin.Ghost(s, x, a.Host, c)
+		}
+	}
+	return errors.New("no server is out any more")
+}
--- a/cmd/drill/rig.go
+++ b/cmd/drill/rig.go
@@ -40,6 +40,11 @@
 	towards  func(node string) (*standin.Sidecar, error) // callers go through such a sidecar; nil: through none
 	sidecars []*standin.Sidecar
 
+	bansMu  sync.Mutex      // guards what follows
+	bans    []ban           // servers taken out by hand
+	calls   int             // operators' calls
+	gaveWay []time.Duration // how long a process that was succeeded took to end
+
 	unjudged bool // it measures, and its traffic is not recorded
 	figures  []figure
 	tables   []string
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,6 +110,14 @@
 	return *d.stands.Load(), seen
 }
 
+// Operators is the address where operators call; nil: nowhere.
+func (n *Node) Operators() net.Addr {
+	if n.port == nil {
+		return nil
+	}
+	return n.port.Addr()
+}
+
 // maxExported is how many ids of servers that have left go over to a successor.
 const maxExported = 1 << 13
 
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -51,6 +51,9 @@
 	if plan.Admin != n.plan.Admin {
 		return fmt.Errorf("the admin address is %q; it changes only at a start", n.plan.Admin)
 	}
+	if plan.Operator != n.plan.Operator || plan.State != n.plan.State {
+		return fmt.Errorf("the operators' address is %q and the directory of state %q; they change only at a start", n.plan.Operator, n.plan.State)
+	}
 	if err := n.zones.reload(plan.Zones); err != nil {
 		return err
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -108,6 +108,18 @@
 			t.fault("admin", "%v", err)
 		}
 	}
+	if p.Operator = t.text("operator", ""); t.has("operator") {
+		if err := loopback(p.Operator); err != nil {
+			t.fault("operator", "%v", err)
+		}
+	}
+	if p.State = t.text("state", ""); t.has("state") {
+		if info, err := os.Stat(p.State); err != nil || !info.IsDir() {
+			t.fault("state", "%q is no directory", p.State)
+		} else if p.Operator == "" {
+			t.fault("state", "it keeps operators' orders, and no operator address takes any")
+		}
+	}
 	names := map[string]bool{}
 	for i, pp := range p.Pools {
 		if pp.Name != "" && names[pp.Name] {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -271,6 +271,9 @@
 	if a := n.Admin(); a != nil {
 		log.Printf("telling what it holds on %s", a)
 	}
+	if a := n.Operators(); a != nil {
+		log.Printf("operators call on %s", a)
+	}
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -11,7 +11,10 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
+
+	"hollyspur/internal/peek"
 )
 
 // Stream is an open stream of requests: they come at random times, whatever became of those before.
@@ -173,10 +176,10 @@
 	return *x
 }
 
-// ask sends a request, once more if it crossed the close of a kept connection.
+// ask sends a request, once more on a new connection if it crossed the close of a kept one.
 func (c *Callers) ask(x *Exchange, text string, deadline time.Duration) {
 	for {
-		conn, err := c.get()
+		conn, err := c.get(x.Crossed)
 		x.Sent = c.rec.Now()
 		x.Deadline = x.Sent + deadline
 		if err != nil {
@@ -236,15 +239,23 @@
 	return false
 }
 
-func (c *Callers) get() (*callerConn, error) {
-	c.mu.Lock()
-	if n := len(c.idle); n > 0 {
+// get takes an idle connection that has not been closed meanwhile, or a new one.
+func (c *Callers) get(fresh bool) (*callerConn, error) {
+	for !fresh {
+		c.mu.Lock()
+		n := len(c.idle)
+		if n == 0 {
+			c.mu.Unlock()
+			break
+		}
 		conn := c.idle[n-1]
 		c.idle = c.idle[:n-1]
 		c.mu.Unlock()
-		return conn, nil
+		if peek.At(conn.Conn) == syscall.EAGAIN {
+			return conn, nil
+		}
+		conn.Close()
 	}
-	c.mu.Unlock()
 	nc, err := net.DialTimeout("tcp", c.addr, 2*time.Second)
 	if err != nil {
 		return nil, err
