Short requests cost what they did: heads are looked at by line, one channel an answer

Change: lines that can't name a length or a coding are passed over (head.go); the expression runs only where no Content-Length stands; one channel tells both kinds of answer; buffered bodies are read without a deadline.

--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -74,9 +74,6 @@
 // lost.
 func readBody(w http.ResponseWriter, hr *http.Request, c *call) *Refusal {
 	out := c.Payload.(*message.Request)
-	if hr.ContentLength == 0 {
-		return nil
-	}
 	rc := http.NewResponseController(w)
 	in := &paced{rc: rc, body: hr.Body}
 	buf := make([]byte, bodyRoom(hr))
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -170,10 +170,15 @@
 // call is a request on its way through an engine. It implements engine.Receiver.
 type call struct {
 	engine.Call
-	answers chan engine.Answer   // holds the final answer; never blocks
-	began   chan *message.Stream // holds an answer that comes in pieces; never blocks
-	gone    atomic.Bool          // nobody will read it
-	rest    *rest                // of a long body; nil: none
+	came chan came   // holds the final answer, and one that comes in pieces before it; never blocks
+	gone atomic.Bool // nobody will read it
+	rest *rest       // of a long body; nil: none
+}
+
+// came is what the engine tells: an answer that begins, or the final one.
+type came struct {
+	stream *message.Stream // nil: the final one
+	answer engine.Answer
 }
 
 func (c *call) Began(r engine.Reply) {
@@ -182,32 +187,33 @@
 		r.Release()
 		return
 	}
-	c.began <- st
+	c.came <- came{stream: st}
 	if c.gone.Load() {
 		c.discard()
 	}
 }
 
 func (c *call) Ended(a engine.Answer) {
-	c.answers <- a
+	c.came <- came{answer: a}
 	if c.gone.Load() {
 		c.discard()
 	}
 }
 
-// discard releases an answer that nobody will read. Whichever of the two sides comes second finds it.
+// discard releases answers that nobody will read. Whichever of the two sides comes second finds them.
 func (c *call) discard() {
-	select {
-	case st := <-c.began:
-		st.Release()
-	default:
-	}
-	select {
-	case a := <-c.answers:
-		if a.Reply != nil {
-			a.Reply.Release()
+	for {
+		select {
+		case x := <-c.came:
+			if x.stream != nil {
+				x.stream.Release()
+			}
+			if x.answer.Reply != nil {
+				x.answer.Reply.Release()
+			}
+		default:
+			return
 		}
-	default:
 	}
 }
 
@@ -238,10 +244,12 @@
 	})
 	if err == nil {
 		defer p.Leave(size)
-		head := f.clock.Now()
-		err = readBody(w, hr, c)
-		read := f.clock.Now() - head // a request's time runs from its last byte
-		c.Deadline, c.Last = c.Deadline+read, c.Last+read
+		if hr.ContentLength != 0 {
+			head := f.clock.Now()
+			err = readBody(w, hr, c)
+			read := f.clock.Now() - head // a request's time runs from its last byte
+			c.Deadline, c.Last = c.Deadline+read, c.Last+read
+		}
 	}
 	if err != nil {
 		f.refuse(w, hr, from, err)
@@ -267,48 +275,22 @@
 	if c.rest != nil {
 		arrived = c.rest.ended
 	}
-	abort := func() {
-		p.Engine().Gone(&c.Call)
-		c.gone.Store(true)
-		c.discard()
-		if c.rest != nil {
-			c.rest.leave(0)
-		}
-		from.reset(hr)
-		// Returning would answer 200 with nothing in it, or end an answer that is not whole.
-		panic(http.ErrAbortHandler)
-	}
 	for {
 		select {
-		case st := <-c.began:
-			if !f.pass(hr.Context(), w, st) {
-				abort()
-			}
-		case a := <-c.answers:
-			select {
-			case st := <-c.began: // it came first
-				if !f.pass(hr.Context(), w, st) {
-					abort()
-				}
-			default:
-				f.lead(w)
-				if c.rest != nil {
-					select {
-					case <-c.rest.ended:
-					default:
-						w.Header().Set("Connection", "close")
-					}
-				}
-				write(w, a)
+		case x := <-c.came:
+			if x.stream == nil {
+				f.write(w, c, x.answer)
+			} else if !f.pass(hr.Context(), w, x.stream) {
+				f.abort(hr, p, c, from)
 			}
 		case <-arrived:
 			if c.rest.err != nil {
-				abort()
+				f.abort(hr, p, c, from)
 			}
 			arrived = nil
 			continue
 		case <-hr.Context().Done():
-			abort()
+			f.abort(hr, p, c, from)
 		}
 		if c.rest != nil {
 			http.NewResponseController(w).Flush()
@@ -320,6 +302,19 @@
 	}
 }
 
+// abort ends a call whose caller gets no whole answer, and its connection so that it sees that.
+func (f *Front) abort(hr *http.Request, p *pool.Pool, c *call, from *caller) {
+	p.Engine().Gone(&c.Call)
+	c.gone.Store(true)
+	c.discard()
+	if c.rest != nil {
+		c.rest.leave(0)
+	}
+	from.reset(hr)
+	// Returning would answer 200 with nothing in it, or end an answer that is not whole.
+	panic(http.ErrAbortHandler)
+}
+
 // refuse answers a request that is not taken.
 func (f *Front) refuse(w http.ResponseWriter, hr *http.Request, from *caller, err *Refusal) {
 	if err.Retry {
@@ -430,7 +425,7 @@
 			out.Header[name] = v
 		}
 	}
-	c := &call{answers: make(chan engine.Answer, 1), began: make(chan *message.Stream, 1)}
+	c := &call{came: make(chan came, 2)}
 	Describe(&c.Call, h, name, now, left)
 	c.Payload, c.To = out, c
 	if us, err := strconv.ParseFloat(h.Get("X-Weight-Hint"), 64); err == nil && us > 0 {
@@ -457,7 +452,16 @@
 	engine.Duplicate: http.StatusConflict,
 }
 
-func write(w http.ResponseWriter, a engine.Answer) {
+// write writes a final answer that nothing of went before.
+func (f *Front) write(w http.ResponseWriter, c *call, a engine.Answer) {
+	f.lead(w)
+	if c.rest != nil {
+		select {
+		case <-c.rest.ended:
+		default:
+			w.Header().Set("Connection", "close") // what the caller still sends is not read to its end
+		}
+	}
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(WriteTimeout))
 	h := w.Header()
 	h["Content-Type"] = nil // no guessing
--- a/internal/front/http1/head.go
+++ b/internal/front/http1/head.go
@@ -1,5 +1,7 @@
 package http1
 
+import "bytes"
+
 // head looks at a request's head as its bytes come, for what the library drops: a length beside a transfer coding. Of a
 // request whose first bytes came with the one before it sees nothing, and says so.
 type head struct {
@@ -14,10 +16,27 @@
 
 // take looks at the next bytes.
 func (h *head) take(p []byte) {
+	for len(p) > 0 && !h.done {
+		end := bytes.IndexByte(p, '\n') + 1
+		if end == 0 {
+			end = len(p)
+		}
+		if h.n == 0 && !h.value && end > 2 && !may[p[0]] && p[end-1] == '\n' {
+			h.some = true // a whole line that names nothing of what is looked for
+		} else {
+			h.bytes(p[:end])
+		}
+		p = p[end:]
+	}
+}
+
+// may says which bytes a line may begin with that names what is looked for, or that has nothing to say.
+var may = [256]bool{'c': true, 'C': true, 't': true, 'T': true, '\r': true, '\n': true}
+
+// bytes looks at bytes of one line.
+func (h *head) bytes(p []byte) {
 	for _, c := range p {
 		switch {
-		case h.done:
-			return
 		case c == '\n':
 			h.done = h.some && h.n == 0 && !h.value
 			h.n, h.value = 0, false
--- a/internal/front/http1/head_test.go
+++ b/internal/front/http1/head_test.go
@@ -19,6 +19,7 @@
 		for _, c := range []byte(text) {
 			bytewise.take([]byte{c})
 		}
+		h.name, bytewise.name = [len(h.name)]byte{}, [len(h.name)]byte{}
 		if !h.done || h.lengths != want[0] || h.codings != want[1] || h != bytewise {
 			t.Errorf("%q: %+v, byte by byte %+v", text, h, bytewise)
 		}
--- a/internal/sender/http1/read.go
+++ b/internal/sender/http1/read.go
@@ -93,7 +93,10 @@
 	if n > maxAnswer {
 		return answer{}, errTooLong
 	}
-	body := quiet{c, resp.Body, s.quietWithin}
+	var body io.Reader = quiet{c, resp.Body, s.quietWithin}
+	if n >= 0 && int64(c.r.Buffered()) >= n {
+		body = resp.Body // it is here
+	}
 	switch {
 	case resp.StatusCode != http.StatusOK:
 		c.limit.N = maxAnswer / 64
@@ -119,11 +122,15 @@
 		}
 		head, _ := r.Peek(r.Buffered())
 		if end := bytes.Index(head, headEnd); end >= 0 {
-			return connectionClose.Match(head[:end+2])
+			head = head[:end+2]
+			return !bytes.Contains(head, contentLength) && connectionClose.Match(head)
 		}
 	}
 }
 
+// contentLength is how most servers tell a length, which spares the search: then nobody asks.
+var contentLength = []byte("\nContent-Length: ")
+
 var connectionClose = regexp.MustCompile(`(?i)\nconnection:(?:[^\n]*,)?[ \t]*close[ \t]*(?:,[^\n]*)?\r\n`)
 
 const (
