A chunked body that its caller cuts short within a chunk is never taken for whole

Cause: the library tells the early end together with the last bytes (n > 0 and unexpected EOF), and paced.Read passed that on as it was (internal/front/http1/body.go), the word by which io.ReadFull tells a body shorter than the buffer. Such a request was submitted as whole, and only its caller's going away, noticed at the same time, usually kept it from a server.

Change: every error but the end itself is marked.

--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -53,10 +53,11 @@
 	n, err := p.body.Read(b)
 	p.spent += time.Since(began)
 	p.got += int64(n)
-	if n > 0 || err == nil || errors.Is(err, io.EOF) {
-		return n, err
+	if err != nil && err != io.EOF {
+		// Also with bytes, and whatever the library calls it: io.ReadFull has a word of its own for an end that came early.
+		err = errors.Join(err, errBroken)
 	}
-	return n, errors.Join(err, errBroken)
+	return n, err
 }
 
 var errBroken = errors.New("the body did not come whole")
--- a/internal/node/long_test.go
+++ b/internal/node/long_test.go
@@ -268,3 +268,31 @@
 		}
 	}
 }
+
+// A body that its caller cuts short, in whatever framing and wherever, is no request.
+func TestBodyCutShort(t *testing.T) {
+	t.Parallel()
+	var ran atomic.Int64
+	n := startNode(t, testConfig("127.0.0.1:1", listed("s", echoStub(t, 10, "length", &ran))), nil)
+	long := &bytes.Buffer{}
+	io.Copy(long, &pattern{size: 100 << 10})
+	for name, rest := range map[string]string{
+		"within a chunk":   "Transfer-Encoding: chunked\r\n\r\n5\r\n\x00\x01\x02",
+		"after a chunk":    "Transfer-Encoding: chunked\r\n\r\n1\r\n\x00\r\n",
+		"behind its end":   "Transfer-Encoding: chunked\r\n\r\n1\r\n\x00\r\n0\r\n",
+		"of a length":      "Content-Length: 5\r\n\r\n\x00\x01",
+		"of a long length": "Content-Length: 200000\r\n\r\n" + long.String(),
+		"in a long chunk":  "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" + long.String(),
+	} {
+		c := dial(t, n.Addr().String())
+		fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: cut-%d\r\nX-Time-Left: 5000m\r\nContent-Type: 1\r\n%s", len(name), rest)
+		c.(*net.TCPConn).CloseWrite()
+		answer, _ := io.ReadAll(c)
+		if len(answer) > 0 && !strings.HasPrefix(string(answer), "HTTP/1.1 4") {
+			t.Errorf("%s: %.60q", name, answer)
+		}
+	}
+	if ran.Load() != 0 {
+		t.Errorf("%d of them ran", ran.Load())
+	}
+}
