One word for a body that has gone, and what nothing used is out

Need: reading the change over. message.Request had Sent beside Spent, which says the same of a request with more to come (the sender over HTTP/2 asks Spent now); relay had a channel that nothing closed or read; flow.unused was give by another name. Behaviour is as it was. Measured: tests of message, handover and both senders pass with the race detector.

--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -30,9 +30,6 @@
 // Spent says that no further attempt can send all of it.
 func (r *Request) Spent() bool { return r.More != nil && r.claimed.Load() }
 
-// Sent says that More has been claimed.
-func (r *Request) Sent() bool { return r.claimed.Load() }
-
 // Claim says, once, that More may be taken.
 func (r *Request) Claim() bool { return r.claimed.CompareAndSwap(false, true) }
 
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -7,12 +7,11 @@
 	"net"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
-	"syscall"
-
 	"hollyspur/internal/engine"
 	"hollyspur/internal/handover"
 	"hollyspur/internal/operator"
@@ -27,10 +26,9 @@
 
 	server *handover.Server // nil: no successor can come
 
-	mu        sync.Mutex // guards all below; not held over I/O
-	links     map[*handover.Link]bool
-	serving   map[*handover.Link]bool // successors that take clients
-	succeeded chan struct{}           // closed once there is one
+	mu      sync.Mutex // guards all below; not held over I/O
+	links   map[*handover.Link]bool
+	serving map[*handover.Link]bool // successors that take clients
 }
 
 // newRelay joins the process that it finds in the plan's directory; nil where the plan has none.
--- a/internal/sender/h2/h2.go
+++ b/internal/sender/h2/h2.go
@@ -83,7 +83,7 @@
 // attempt sends a once and waits for its answer until ctx ends.
 func (s *Sender) attempt(ctx context.Context, a *engine.Attempt) (hollyspur.Ending, *message.Reply) {
 	m := a.Payload.(*message.Request)
-	if m.More != nil && m.Sent() {
+	if m.Spent() {
 		return hollyspur.Failure, nil // its caller's messages went to another server: this one can't have them
 	}
 	c, err := s.get(ctx, a.Endpoint)
--- a/internal/sender/http1/read.go
+++ b/internal/sender/http1/read.go
@@ -167,7 +167,7 @@
 			return nil, size, err
 		}
 		n, err := body.Read(buf[:room])
-		f.unused(room - n)
+		f.give(room - n)
 		if size += int64(n); n > 0 {
 			f.Push(append([]byte(nil), buf[:n]...))
 		}
@@ -266,10 +266,7 @@
 	}
 }
 
-// unused gives back what was not read after all.
-func (f *flow) unused(n int) { f.give(n) }
-
-// give gives back what has been taken or dropped.
+// give gives back what has been taken or dropped, or was not read after all.
 func (f *flow) give(n int) {
 	f.mu.Lock()
 	f.held -= n
--- a/internal/sender/http1/stream_test.go
+++ b/internal/sender/http1/stream_test.go
@@ -271,7 +271,7 @@
 					continue
 				}
 				got := rapid.IntRange(0, n).Draw(t, "got")
-				f.unused(n - got)
+				f.give(n - got)
 				if got > 0 {
 					f.Push(make([]byte, got))
 				}
