Orders that come while a process gives way don't have it keep its callers

Cause: node.ordered set LeadAway by the drain alone (internal/node/node.go), so any order told to either process in the seconds after SIGTERM had the old one keep its callers' connections until its end. Found by reading the change over.

Change: a process that gives way leads away whatever is ordered. Measured: TestOrdersWhileGivingWay fails without it (after four of five orders a connection is kept), passes with it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,7 @@
 	ready     atomic.Bool // clients are taken
 
 	stopping atomic.Bool
+	gaveWay  atomic.Bool  // a successor takes new callers
 	patience atomic.Int64 // ns that callers may wait for what a stopping node has taken
 
 	mu       sync.Mutex // guards what follows, and orders reloads
@@ -420,6 +421,7 @@
 // giveWay leaves new connections to the successor and leads callers there, until none is left or time is up.
 func (n *Node) giveWay(until time.Time) {
 	log.Print("giving way to a successor")
+	n.gaveWay.Store(true) // whatever is ordered from here on
 	for _, f := range n.fronts {
 		if l, can := f.(leads); can {
 			l.Hand()
@@ -449,7 +451,7 @@
 	for _, f := range n.fronts {
 		if l, can := f.(leads); can {
 			l.Unready(draining)
-			l.LeadAway(draining)
+			l.LeadAway(draining || n.gaveWay.Load())
 		}
 	}
 	n.mu.Lock()
--- a/internal/node/orders_test.go
+++ b/internal/node/orders_test.go
@@ -190,3 +190,19 @@
 		t.Errorf("after the drain: %d, closed: %v", resp.StatusCode, resp.Close)
 	}
 }
+
+// Orders that come while a process gives way to its successor don't have it keep its callers.
+func TestOrdersWhileGivingWay(t *testing.T) {
+	t.Parallel()
+	addr, _ := testkit.Stub(t, ok, false)
+	n := startNode(t, withPort(testConfig("127.0.0.1:1", listed("a", addr))), nil)
+	n.gaveWay.Store(true)
+	for _, line := range []string{"drain-off", "drain-on", "drain-off", "set-down a", "set-up a"} {
+		wantOrder(t, n, line, "200")
+		c := dial(t, n.Addr().String())
+		fmt.Fprint(c, "GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || !resp.Close {
+			t.Errorf("after %s a caller's connection is kept: %v", line, err)
+		}
+	}
+}
