A copy's place among the copies can change in a running module: the event Fleet

Need: count and place of the copies were typed into the settings, and a fleet that shrinks or grows could only be told by a restart.

Change: an event Fleet brings count, place and the divisor of rations; window, subset and quotas go over to it and what was learned stays. Without the event every decision is as before.

--- a/hollyspur.go
+++ b/hollyspur.go
@@ -196,6 +196,12 @@
 		Ordered bool // an operator's word, not discovery's, which has not been heard by it
 		Servers []Server
 	}
+	// Fleet tells this copy's place anew, where the copies are not fixed by the settings. Divisor is what rations of all
+	// copies are divided by for this one, 1 or more; +Inf: no part of any is this copy's until it is told another.
+	Fleet struct {
+		Balancers, Index int
+		Divisor          float64
+	}
 	// ListFailed says that a Subscribe failed or that the subscription broke. Garbled: discovery is there and
 	// answered, but what it said can't be read, or broke off.
 	ListFailed struct{ Garbled bool }
@@ -242,6 +248,7 @@
 )
 
 func (ServerList) event() {}
+func (Fleet) event()      {}
 func (ListFailed) event() {}
 func (Request) event()    {}
 func (Outcome) event()    {}
--- a/policy.go
+++ b/policy.go
@@ -54,8 +54,6 @@
 	crowding    = 2   // own calls, above the mean, at which a server is passed over
 	askSpread   = 40  // copies whose calls to discovery are spread over all of AskWithin; of fewer, over less
 	askLongest  = 4   // times AskWithin between calls that fail
-	subsetLeast = 4   // servers that a copy draws from at the least
-	subsetShare = 3.0 // and at the least this many times its fair share of the servers
 
 	bareMemory = memory / 128 // weight of an answer in forgetting the least mean that busyRatio is of
 	newMemory  = 0.25         // and times its weight in the mean for the part of the list that is new
@@ -68,7 +66,7 @@
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
 		servers: map[string]*server{}, requests: map[string]*request{},
-		classes: map[string]*class{}, quotas: map[string]*quota{}, errors: 0.02, tokens: retryPurse / 2,
+		classes: map[string]*class{}, quotas: map[string]*quota{}, divisor: float64(max(1, set.Balancers)), errors: 0.02, tokens: retryPurse / 2,
 		fill: aimFill / 2, bare: math.Log(aimFill / 2), pace: math.Log(aimFill / 2)}
 	longest := set.Classes[0]
 	for _, c := range set.Classes {
@@ -78,9 +76,8 @@
 		}
 	}
 	for _, t := range set.Tenants {
-		rate := t.Quota / float64(max(1, set.Balancers))
-		q := &quota{rate: rate, burst: max(1, quotaBurst*rate)}
-		q.room = q.burst
+		q := &quota{whole: t.Quota, room: math.Inf(1)}
+		q.divide(b.divisor)
 		b.quotas[t.Name] = q
 		b.quotaList = append(b.quotaList, q)
 	}
@@ -103,6 +100,8 @@
 	switch e := e.(type) {
 	case ServerList:
 		b.takeList(e)
+	case Fleet:
+		b.takeFleet(e)
 	case ListFailed:
 		b.subFails++
 		b.askAgain(e.Garbled)
@@ -197,12 +196,26 @@
 		b.rebuildReady()
 	}
 	b.cutGroups()
-	if before > 0 && len(b.ready) > 0 {
-		after := float64(len(b.ready))
-		b.window *= after / before // what a server takes has not changed with their number
+	after := float64(len(b.ready))
+	if before > 0 && after > 0 {
 		// The least latency was other servers': those left may be slower, and those that came are cold.
 		b.fresh = min(1, b.fresh+math.Abs(after-before)/max(after, before))
 	}
+	b.resize(before, after)
+	if e.Cached {
+		b.askAgain(false)
+	} else {
+		b.subFails = 0
+	}
+	b.release()
+}
+
+// resize fits the window and the subset to what this copy's part of the servers was and is: what a server takes has
+// not changed with their number.
+func (b *Balancer) resize(before, after float64) {
+	if before > 0 && after > 0 {
+		b.window *= after / before
+	}
 	if b.window > 0 && b.vain <= mostVain {
 		b.window = max(b.window, windowFloor*b.fairServers())
 	}
@@ -219,11 +232,19 @@
 	if b.window == 0 {
 		b.window = max(windowStart, float64(b.set.StartCalls)) * b.fairServers()
 	}
-	if e.Cached {
-		b.askAgain(false)
-	} else {
-		b.subFails = 0
+}
+
+// takeFleet goes over to another place among the copies. What was learned stays; rations follow the divisor.
+func (b *Balancer) takeFleet(e Fleet) {
+	for _, q := range b.quotaList {
+		q.fill(b.now)
+	}
+	before := b.fairServers()
+	b.set.Balancers, b.set.Index, b.divisor = max(1, e.Balancers), e.Index, e.Divisor
+	for _, q := range b.quotaList {
+		q.divide(b.divisor)
 	}
+	b.resize(before, b.fairServers())
 	b.release()
 }
 
@@ -280,35 +301,6 @@
 	}
 }
 
-// takeSubset keeps a copy to a few servers, evenly from along the shared order, so that all
-// servers are drawn from by equally many copies. Hundreds of copies over the whole list know nothing:
-// their own counts are zero, a sick server is met once a minute, and connections fill its table.
-func (b *Balancer) takeSubset() []*server {
-	n := len(b.ready)
-	size := max(subsetLeast, int(math.Ceil(subsetShare*b.fairServers())))
-	if size >= n || b.set.Balancers <= 1 {
-		return b.ready
-	}
-	var l []*server
-	step := 1
-	for i := range size {
-		// Each block of the order has its own turn of the copies, lest fixed cliques share servers;
-		// a step that divides their number would leave some servers with more of them.
-		turn := (float64(b.set.Index*step%b.set.Balancers) + 0.5) / float64(b.set.Balancers)
-		for step++; gcd(step, b.set.Balancers) > 1; step++ {
-		}
-		l = append(l, b.ready[int((float64(i)+turn)*float64(n)/float64(size))])
-	}
-	return l
-}
-
-func gcd(a, b int) int {
-	for b > 0 {
-		a, b = b, a%b
-	}
-	return a
-}
-
 // askAgain plans a Subscribe where the list must be asked for. Discovery takes calls one after another,
 // and one that it gave up on may still be its work: copies that start, or lose their subscription,
 // together keep it from ever answering in time. So the calls are spread over a time in step with the
@@ -371,8 +363,7 @@
 		q.fade()
 	}
 	q := r.quota
-	q.room = min(q.burst, q.room+q.rate*(b.now-q.at).Seconds())
-	q.at = b.now
+	q.fill(b.now)
 	if r.over = q.room < 1; r.over {
 		return
 	}
@@ -944,7 +935,7 @@
 // coldRoom is how many own calls a server of that warmth gets at a time: its share of what is always
 // admitted, divided among the copies, for many that each send a little would push it over together.
 func (b *Balancer) coldRoom(warmth float64) float64 {
-	return max(1, math.Floor(windowFloor*warmth/float64(max(1, b.set.Balancers))))
+	return max(1, math.Floor(windowFloor*warmth/b.divisor))
 }
 
 // ---- Further attempts ----
--- a/state.go
+++ b/state.go
@@ -30,6 +30,7 @@
 	errors    float64 // share of bad endings among all attempts
 	lastOK    time.Duration
 	tokens    float64 // retry budget
+	divisor   float64 // what a ration of all copies is divided by for this one; +Inf: nothing is this copy's
 	window    float64 // own calls admitted at once (first tier)
 	usable    float64 // share of the ready servers that may take calls, and when that was counted; <0: stale
 	usableAt  time.Duration
@@ -86,13 +87,30 @@
 
 // quota is a tenant's part of what the copies take together, and how it was served within that.
 type quota struct {
-	rate    float64 // requests a second that are this copy's
+	whole   float64 // requests a second of all copies together
+	rate    float64 // those that are this copy's
 	burst   float64 // the most that room may be
 	room    float64 // requests that are within it now, as of at
 	at      time.Duration
 	service // of requests within it
 }
 
+// divide makes a part of the whole this copy's. What has piled up stays within the new part's burst.
+func (q *quota) divide(by float64) {
+	q.rate = q.whole / by
+	q.burst = max(1, quotaBurst*q.rate)
+	if q.rate == 0 {
+		q.burst = 0
+	}
+	q.room = min(q.room, q.burst)
+}
+
+// fill adds to room what has come in since it was last reckoned.
+func (q *quota) fill(now time.Duration) {
+	q.room = min(q.burst, q.room+q.rate*(now-q.at).Seconds())
+	q.at = now
+}
+
 // server is a listed server, or one that left with calls of ours still out.
 type server struct {
 	Server
