A node joins a fleet: gossip, beats, roles for running modules, [fleet] and cranegrade fleet

Change: internal/fleet is a shell round hashicorp/memberlist and the beats; a module in front of each pool's module tells that its place and part before an event when they changed, by the clock that goes on while the process is stopped. [fleet] in the operator's file, checked by line; /fleet on the admin address; cranegrade fleet and cranegrade fleet forget. The platform's program links none of it (TestLayout).

--- a/cmd/cranegrade/main.go
+++ b/cmd/cranegrade/main.go
@@ -39,8 +39,8 @@
 )
 
 func main() {
-	program.Main(node.Options{XDS: openXDS, ExtProc: newExtProc, ZoneStore: openZoneStore, H2: newH2, GRPC: newGRPC},
-		proxyCheckCommand, proxyConfigCommand, zonesCommand, opsCommand)
+	program.Main(node.Options{XDS: openXDS, ExtProc: newExtProc, ZoneStore: openZoneStore, H2: newH2, GRPC: newGRPC, Fleet: joinFleet},
+		proxyCheckCommand, proxyConfigCommand, zonesCommand, opsCommand, fleetCommand)
 }
 
 // openXDS dials the control planes of an operator's file.
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,423 @@
+// Package fleet is a node among others: the gossip that finds out who lives, the beats by which members grant each
+// other their parts, and the clock that goes on while the process is stopped. What it hears it hands to
+// fleet/membership, which decides; what comes out it publishes to the modules of the pools. It decides nothing itself.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"math"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"hollyspur/internal/fleet/membership"
+)
+
+// Config is what a member is told at its start.
+type Config struct {
+	Name      string
+	Zone      string
+	Listen    string // host:port, for TCP and UDP; it dials from that host, too
+	Advertise string // host:port that others reach it at; "": as Listen
+	Join      []string
+	Key       []byte        // of 16, 24 or 32 bytes; nil: in the clear
+	Lease     time.Duration // see membership.Lease; the same at all members
+	Nodes     int           // members that start the fleet, at least; the same at all members
+	Settle    time.Duration
+	Probe     time.Duration // between two probes of members by the gossip
+	Pools     []membership.Service
+}
+
+// calm is how long a member has to be there until one of its flaps is forgiven.
+const calm = 30 * time.Second
+
+// Fleet is this node among the others. Its methods may be called from any goroutine.
+type Fleet struct {
+	cfg  Config
+	run  uint64
+	poke chan struct{}
+	stop chan struct{}
+	done sync.WaitGroup
+
+	sent, received atomic.Int64 // bytes of beats and rolls, without the gossip's own
+
+	mu      sync.Mutex // guards what follows; never held over a call of the gossip, which calls back under its own lock
+	list    *memberlist.Memberlist
+	view    *membership.View
+	roll    *membership.Roll
+	nodes   map[string]memberlist.Node // as last heard of, also those that have failed
+	gates   map[uint32]*Gate
+	pools   map[uint32]string
+	told    map[string]time.Duration // when a member was last told the whole roll
+	leaving bool
+	stalls  []Stall
+	bad     int // messages that could not be read
+	lateAt  time.Duration
+	dialing bool
+	retry   time.Duration
+	retryAt time.Duration
+	closed  bool
+}
+
+// Stall is a time in which this process did not run.
+type Stall struct {
+	At, For time.Duration
+}
+
+// Start has a node join a fleet. It returns at once: whom it can't reach is tried again until it is closed.
+func Start(cfg Config) (*Fleet, error) {
+	if len(cfg.Key) != 0 {
+		if err := memberlist.ValidateKey(cfg.Key); err != nil {
+			return nil, fmt.Errorf("fleet: %w", err)
+		}
+	}
+	if cfg.Advertise == "" {
+		cfg.Advertise = cfg.Listen
+	}
+	now := BootTime()
+	f := &Fleet{cfg: cfg, run: rand.Uint64(), poke: make(chan struct{}, 1), stop: make(chan struct{}), nodes: map[string]memberlist.Node{},
+		gates: map[uint32]*Gate{}, pools: map[uint32]string{}, told: map[string]time.Duration{}, lateAt: now}
+	f.view = membership.NewView(now, f.card(), membership.Settle{After: cfg.Settle, Calm: calm})
+	f.roll = membership.NewRoll(now, cfg.Name, f.run, f.lease())
+	if err := f.open(); err != nil {
+		if !errors.Is(err, errInUse) {
+			return nil, err
+		}
+		log.Printf("fleet: %v; it is tried again until that is free", err)
+	}
+	f.done.Go(f.keep)
+	return f, nil
+}
+
+func (f *Fleet) lease() membership.Lease {
+	return membership.Lease{For: f.cfg.Lease, Nodes: f.cfg.Nodes}
+}
+
+func (f *Fleet) card() membership.Card {
+	return membership.Card{Name: f.cfg.Name, Run: f.run, Protocol: membership.Protocol, Zone: f.cfg.Zone, Pools: f.cfg.Pools}
+}
+
+var errInUse = errors.New("the address is in use")
+
+// open opens the gossip.
+func (f *Fleet) open() error {
+	host, port, err := split(f.cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("fleet: listen: %w", err)
+	}
+	toHost, toPort, err := split(f.cfg.Advertise)
+	if err != nil {
+		return fmt.Errorf("fleet: advertise: %w", err)
+	}
+	quiet := &gossipLog{}
+	t, err := newTransport(host, port, quiet.logger())
+	if err != nil {
+		return err
+	}
+	if toPort == 0 {
+		toPort = t.GetAutoBindPort()
+	}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Transport, c.BindAddr, c.BindPort, c.AdvertiseAddr, c.AdvertisePort = f.cfg.Name, t, host, t.GetAutoBindPort(), toHost, toPort
+	c.Logger, c.SecretKey, c.Label = quiet.logger(), f.cfg.Key, "cranegrade"
+	c.ProbeInterval, c.ProbeTimeout = f.cfg.Probe, f.cfg.Probe/2
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult = 3, 2 // times the interval and the logarithm of the members
+	c.TCPTimeout, c.GossipInterval, c.PushPullInterval = 2*time.Second, min(200*time.Millisecond, f.cfg.Probe), 10*time.Second
+	// Members that have failed are gossiped to for so long, so that one that only seemed to have hears it and says no.
+	c.GossipToTheDeadTime, c.DeadNodeReclaimTime = time.Minute, time.Millisecond
+	c.RequireNodeNames = true
+	c.Delegate, c.Events, c.Conflict, c.Alive = delegate{f}, delegate{f}, delegate{f}, delegate{f}
+	l, err := memberlist.Create(c)
+	if err != nil {
+		t.Shutdown()
+		return fmt.Errorf("fleet: %w", err)
+	}
+	f.mu.Lock()
+	closed := f.closed
+	f.list, f.retry, f.retryAt = l, 0, BootTime()
+	f.mu.Unlock()
+	if closed {
+		return l.Shutdown()
+	}
+	log.Printf("fleet: member %s on %s:%d, run %x", f.cfg.Name, host, t.GetAutoBindPort(), f.run)
+	return nil
+}
+
+func split(addr string) (host string, port int, err error) {
+	host, p, err := net.SplitHostPort(addr)
+	if err != nil {
+		return "", 0, err
+	}
+	if port, err = strconv.Atoi(p); err != nil {
+		return "", 0, err
+	}
+	return host, port, nil
+}
+
+// keep beats, and tries again what failed, until the end.
+func (f *Fleet) keep() {
+	every := f.lease().BeatEvery()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var next time.Duration
+	for {
+		select {
+		case <-timer.C:
+		case <-f.poke:
+		case <-f.stop:
+			return
+		}
+		now := BootTime()
+		if now >= next {
+			f.beat(now)
+			next = now + every
+		}
+		wait := f.advance(now)
+		f.again(now)
+		timer.Reset(max(time.Millisecond, min(next-now, wait)))
+	}
+}
+
+// advance has the view and the roll take what has come due, and publishes what they say now. It gives the time until
+// the view wants to be asked again.
+func (f *Fleet) advance(now time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.Advance(now)
+	f.publish(now)
+	if at, is := f.view.Next(); is {
+		return at - now
+	}
+	return time.Hour
+}
+
+// publish tells the gates of the pools. f.mu is held.
+func (f *Fleet) publish(now time.Duration) {
+	share := f.roll.Share(now)
+	for pool, g := range f.gates {
+		g.role.Store(f.role(now, pool, share))
+	}
+}
+
+// role is this node's in a pool by one share. f.mu is held.
+func (f *Fleet) role(now time.Duration, pool uint32, share membership.Share) *Role {
+	r := &Role{Place: f.view.Place(pool), Share: share, At: now}
+	if !f.view.Settled() || r.Agreed < 1 {
+		// Nobody was heard for long enough: the place is a guess, and most probably another's as well.
+		r.Agreed, r.Index = max(f.cfg.Nodes, 1), int(membership.NameID(f.cfg.Name)%uint64(max(f.cfg.Nodes, 1)))
+	}
+	// Of those whom the share counts only members of the pool spend its rations; who is not known may be one.
+	others := 0
+	for _, m := range f.view.Members() {
+		if slices.Contains(share.Count, m.Name) && f.view.Fits(&m, pool) == membership.Without {
+			others++
+		}
+	}
+	r.Divisor = max(1, share.Divisor-others)
+	return r
+}
+
+// beat sends a round of beats, and notes how long this process has not run.
+func (f *Fleet) beat(now time.Duration) {
+	f.mu.Lock()
+	if gap := now - f.lateAt; gap > 2*f.lease().BeatEvery() {
+		if f.stalls = append(f.stalls, Stall{now, gap}); len(f.stalls) > maxStalls {
+			f.stalls = f.stalls[1:]
+		}
+		log.Printf("fleet: this process did not run for %v; until others are heard again it goes by no share that is older than %v", gap.Round(time.Millisecond), f.cfg.Lease)
+	}
+	f.lateAt = now
+	l := f.list
+	type letter struct {
+		to memberlist.Node
+		b  []byte
+	}
+	var letters []letter
+	if l != nil && !f.closed {
+		for _, name := range f.roll.Round(now) {
+			if n, is := f.nodes[name]; is {
+				letters = append(letters, letter{n, append([]byte{beatMessage}, f.roll.Beat(name).Encode()...)})
+			}
+		}
+	}
+	f.mu.Unlock()
+	for _, x := range letters {
+		f.sent.Add(int64(len(x.b)))
+		l.SendBestEffort(&x.to, x.b) // an error is a beat that did not come
+	}
+}
+
+const maxStalls = 20
+
+// Between tries to reach who is lost, at first and at the most.
+const (
+	retryFirst = 500 * time.Millisecond
+	retryMost  = 30 * time.Second
+)
+
+// again opens the gossip if that failed, and looks for members that are not seen: two halves of a fleet that have
+// given each other up never meet unless somebody asks.
+func (f *Fleet) again(now time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.dialing || f.closed || f.leaving || now < f.retryAt {
+		return
+	}
+	var lost []string
+	for _, m := range f.view.Members() {
+		if n, is := f.nodes[m.Name]; is && m.State == membership.Failed {
+			lost = append(lost, n.Address())
+		}
+	}
+	if len(f.nodes) == 0 || len(lost) > 0 {
+		lost = append(lost, f.cfg.Join...)
+	}
+	if f.list != nil && len(lost) == 0 {
+		f.retry, f.retryAt = 0, now+retryFirst
+		return
+	}
+	f.retry = min(retryMost, max(retryFirst, 2*f.retry))
+	f.retryAt = now + f.retry/2 + rand.N(f.retry)
+	f.dialing = true
+	l := f.list
+	f.done.Go(func() {
+		if l == nil {
+			if err := f.open(); err != nil && !errors.Is(err, errInUse) {
+				log.Print(err)
+			}
+		} else {
+			rand.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
+			l.Join(lost[:min(len(lost), 3)]) // who is not reached is tried again
+		}
+		f.mu.Lock()
+		f.dialing = false
+		f.mu.Unlock()
+		f.wake()
+	})
+}
+
+func (f *Fleet) wake() {
+	select {
+	case f.poke <- struct{}{}:
+	default:
+	}
+}
+
+// Gate gives a pool's gate, which tells its role from now on.
+func (f *Fleet) Gate(name string) *Gate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := membership.PoolID(name)
+	g := f.gates[id]
+	if g == nil {
+		now := BootTime()
+		g = &Gate{}
+		f.gates[id], f.pools[id] = g, name
+		g.role.Store(f.role(now, id, f.roll.Share(now)))
+	}
+	return g
+}
+
+// SetPools tells others that this node's pools are these, after a reload.
+func (f *Fleet) SetPools(pools []membership.Service) {
+	f.mu.Lock()
+	same := slices.Equal(f.cfg.Pools, pools)
+	f.cfg.Pools = pools
+	f.view.Self(f.card())
+	l := f.list
+	f.mu.Unlock()
+	if !same && l != nil {
+		l.UpdateNode(time.Second)
+	}
+	f.wake()
+}
+
+// ErrNoMember says that a name is not on the roll, or is this node's own.
+var ErrNoMember = errors.New("no such member")
+
+// Forget takes a member off the roll: whoever calls says that it is dead. One that is not comes back as a new one.
+func (f *Fleet) Forget(name string) error {
+	f.mu.Lock()
+	is := f.roll.Forget(BootTime(), name)
+	f.mu.Unlock()
+	if !is {
+		return fmt.Errorf("%w: %q", ErrNoMember, name)
+	}
+	log.Printf("fleet: %s is taken off the roll by hand", name)
+	f.wake()
+	return nil
+}
+
+// Leave has this node act no more and tells the others, who take its part over. It returns once that is said, or ctx ends.
+func (f *Fleet) Leave(ctx context.Context) {
+	f.mu.Lock()
+	now := BootTime()
+	f.leaving = true
+	f.roll.Leave(now)
+	f.publish(now)
+	l := f.list
+	f.mu.Unlock()
+	f.beat(now)
+	if l == nil {
+		return
+	}
+	limit := time.Second
+	if end, is := ctx.Deadline(); is {
+		limit = time.Until(end)
+	}
+	if limit > 0 {
+		l.Leave(limit)
+	}
+	f.beat(BootTime()) // a lost beat would have the others wait for a roll
+}
+
+// Close ends it; without Leave others miss this node and take it for failed.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	if f.closed {
+		f.mu.Unlock()
+		return
+	}
+	f.closed = true
+	l := f.list
+	for _, g := range f.gates {
+		r := *g.role.Load()
+		r.Share = membership.Share{Divisor: r.Share.Divisor, Why: "this node has ended"}
+		g.role.Store(&r)
+	}
+	f.mu.Unlock()
+	close(f.stop)
+	if l != nil {
+		l.Shutdown()
+	}
+	f.done.Wait()
+}
+
+// Gate is where a pool's role stands. It is read at each decision.
+type Gate struct{ role atomic.Pointer[Role] }
+
+// Role is what this node is in a pool.
+type Role struct {
+	membership.Place
+	membership.Share
+	Divisor int // by which the pool's rations are divided
+	At      time.Duration
+}
+
+// Role is the latest, and the part that may be taken by it at that time: +Inf if what it stands on is too old.
+func (g *Gate) Role(now time.Duration) (*Role, float64) {
+	r := g.role.Load()
+	if !r.Standing(now) {
+		return r, math.Inf(1)
+	}
+	return r, float64(r.Divisor)
+}
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -55,6 +55,12 @@
 	return h.Sum32()
 }
 
+// SortServices brings pools into the order that a card has them in, and leaves out what stands there twice.
+func SortServices(l []Service) []Service {
+	slices.SortFunc(l, func(a, b Service) int { return cmp.Compare(a.ID, b.ID) })
+	return slices.CompactFunc(l, func(a, b Service) bool { return a.ID == b.ID })
+}
+
 // serves says whether the member has the pool, and with which settings.
 func (c Card) serves(pool uint32) (digest uint32, is bool) {
 	i, is := slices.BinarySearchFunc(c.Pools, pool, func(s Service, id uint32) int { return cmp.Compare(s.ID, id) })
@@ -69,8 +75,7 @@
 
 // Encode writes the card in at most MaxCard bytes.
 func (c Card) Encode() []byte {
-	pools := slices.Clone(c.Pools)
-	slices.SortFunc(pools, func(a, b Service) int { return cmp.Compare(a.ID, b.ID) })
+	pools := SortServices(slices.Clone(c.Pools))
 	all := c.All || len(pools) > MaxPools
 	if all {
 		pools = nil
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -30,6 +30,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		n.Zones().JSON(w)
 	})
+	n.fleetPages(mux)
 	return &admin{l, &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, IdleTimeout: time.Second, WriteTimeout: 10 * time.Second}}, nil
 }
 
--- a/internal/node/layout_test.go
+++ b/internal/node/layout_test.go
@@ -16,22 +16,24 @@
 	}
 	const front, sender, source = module + "/internal/front/", module + "/internal/sender/", module + "/internal/source/"
 	forbidden := map[string][]string{
-		module:                              {"net", "os", "log", module + "/internal/"},
-		module + "/internal/engine":         {"net/http", "net", module + "/internal/"},
-		module + "/internal/route":          {"net", "os", "log", module + "/internal/"},
-		module + "/internal/pool":           {"net/http", front, sender, source, module + "/internal/node"},
-		module + "/internal/message":        {"net/http", module + "/internal/"},
-		module + "/internal/operator":       {front, sender, source, module + "/internal/node"},
-		module + "/internal/audit":          {module + "/internal/engine", module + "/internal/node", module + "/internal/front/"},
-		module + "/internal/standin":        {module + "/internal/engine", module + "/internal/node", module + "/internal/front/"},
-		module + "/internal/node":           {module + "/internal/standin", module + "/internal/audit"},
-		module + "/cmd/cranegrade":          {module + "/internal/standin", module + "/internal/audit"},
-		module + "/internal/xds/ads":        {"net", "os", "log", "google.golang.org/grpc", module + "/"},
-		module + "/internal/xds/resource":   {"net", "os", "log", "google.golang.org/grpc", module + "/internal/xds/client"},
-		module + "/cmd/cranegrade-platform": {"google.golang.org/grpc", module + "/internal/xds/"},
-		front:                               {sender, source, module + "/internal/node", module + "/internal/operator"},
-		sender:                              {front, source, module + "/internal/node", module + "/internal/operator"},
-		source:                              {front, sender, module + "/internal/node", module + "/internal/operator"},
+		module:                                {"net", "os", "log", module + "/internal/"},
+		module + "/internal/engine":           {"net/http", "net", module + "/internal/"},
+		module + "/internal/route":            {"net", "os", "log", module + "/internal/"},
+		module + "/internal/pool":             {"net/http", front, sender, source, module + "/internal/node"},
+		module + "/internal/message":          {"net/http", module + "/internal/"},
+		module + "/internal/operator":         {front, sender, source, module + "/internal/node"},
+		module + "/internal/audit":            {module + "/internal/engine", module + "/internal/node", module + "/internal/front/"},
+		module + "/internal/standin":          {module + "/internal/engine", module + "/internal/node", module + "/internal/front/"},
+		module + "/internal/node":             {module + "/internal/standin", module + "/internal/audit"},
+		module + "/cmd/cranegrade":            {module + "/internal/standin", module + "/internal/audit"},
+		module + "/internal/xds/ads":          {"net", "os", "log", "google.golang.org/grpc", module + "/"},
+		module + "/internal/xds/resource":     {"net", "os", "log", "google.golang.org/grpc", module + "/internal/xds/client"},
+		module + "/cmd/cranegrade-platform":   {"google.golang.org/grpc", module + "/internal/xds/", "github.com/hashicorp/memberlist"},
+		module + "/internal/fleet/membership": {"net", "os", "log", "sync", module + "/"},
+		module + "/internal/fleet":            {front, sender, source, module + "/internal/node", module + "/internal/operator", module + "/internal/pool"},
+		front:                                 {sender, source, module + "/internal/node", module + "/internal/operator"},
+		sender:                                {front, source, module + "/internal/node", module + "/internal/operator"},
+		source:                                {front, sender, module + "/internal/node", module + "/internal/operator"},
 	}
 	seen := 0
 	for _, line := range strings.Split(strings.TrimSpace(string(out)), "\n") {
@@ -45,7 +47,7 @@
 			for _, n := range not {
 				// The library's own packages are reached through harmless ones: only direct imports count.
 				list := imports
-				if n == "net/http" || n == "google.golang.org/grpc" && path == module+"/cmd/cranegrade-platform" || strings.HasPrefix(n, module) {
+				if n == "net/http" || (n == "google.golang.org/grpc" || n == "github.com/hashicorp/memberlist") && path == module+"/cmd/cranegrade-platform" || strings.HasPrefix(n, module) {
 					list = deps
 				}
 				for _, dep := range strings.Split(list, ",") {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	options   Options
 	admin     *admin // nil: none
 	zones     *zones
+	fleet     Member // nil: this node is in none
 	clock     engine.Clock
 	budgets   budgets
 	fresh     *pool.Share // for callers' connections before their first request
@@ -88,6 +89,8 @@
 	GRPC func(*Node) front.Dialect
 	// ZoneStore opens the file that keeps the account of zones; nil: this program is built without.
 	ZoneStore func(path string) (ZoneStore, error)
+	// Fleet joins the fleet that a file names; nil: this program is built without.
+	Fleet func(name string, f operator.Fleet, pools map[string]uint32) (Member, error)
 	// Trace stands between a pool's engine and its module and writes down what passes; nil: none does.
 	Trace func(pool string, classes []hollyspur.Class, m engine.Module) (engine.Module, error)
 }
@@ -148,6 +151,9 @@
 	if n.zones, err = openZones(plan.Zones, o.ZoneStore); err != nil {
 		return nil, err
 	}
+	if n.fleet, err = openFleet(plan, o.Fleet); err != nil {
+		return nil, err
+	}
 	s := &serving{routes: plan.Routes, pools: make(map[string]*pool.Pool, len(plan.Pools))}
 	for _, pp := range plan.Pools {
 		n.relay.takeOver(&pp)
@@ -226,7 +232,7 @@
 		shares.Callers = b.callers.NewShare()
 	}
 	var zoned *zone.Module
-	if m == nil && (n.options.Trace != nil || pp.Zoned) {
+	if m == nil && (n.options.Trace != nil || pp.Zoned || n.fleet != nil) {
 		in, err := hollyspur.New(pp.Settings, seed(pp))
 		if err != nil {
 			return nil, fmt.Errorf("pool %q: %w", pp.Name, err)
@@ -241,6 +247,9 @@
 				return nil, fmt.Errorf("pool %q: %w", pp.Name, err)
 			}
 		}
+		if n.fleet != nil {
+			m = n.fleet.Module(pp.Name, m)
+		}
 	}
 	var to engine.Sender
 	switch {
@@ -383,6 +392,7 @@
 	n.stopping.Store(true)
 	n.ready.Store(false)
 	log.Print("told to stop")
+	go n.stopFleet() // its part is taken over while it still serves what it has
 	defer log.Print("stopped")
 	cutoff := time.Now().Add(n.wait() + killedAfter - lastCall)
 	abandon := time.AfterFunc(time.Until(cutoff), n.abandonAll)
@@ -520,6 +530,9 @@
 		n.port.Close()
 	}
 	n.relay.close()
+	if n.fleet != nil {
+		n.fleet.Close()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.xds != nil {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -54,6 +54,9 @@
 	if plan.Operator != n.plan.Operator || plan.State != n.plan.State {
 		return fmt.Errorf("the operators' address is %q and the directory of state %q; they change only at a start", n.plan.Operator, n.plan.State)
 	}
+	if !sameFleet(plan.Fleet, n.plan.Fleet) || plan.Fleet != nil && plan.Name != n.plan.Name {
+		return errors.New("[fleet] and a member's name change only at a start")
+	}
 	if err := n.zones.reload(plan.Zones); err != nil {
 		return err
 	}
@@ -133,6 +136,9 @@
 		n.zones.limit(plan.Zones.Limits)
 	}
 	n.plan = plan
+	if n.fleet != nil {
+		go n.fleet.Serve(digests(plan)) // it waits until the others are told
+	}
 	n.serving.Store(next)
 	n.await(next.pools)
 	for _, p := range gone {
--- /dev/null
+++ b/internal/operator/fleet.go
@@ -0,0 +1,82 @@
+package operator
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"hollyspur/internal/fleet/membership"
+)
+
+// fleet reads how this node finds the others.
+func (f *file) fleet(t *table, p *Plan, nodes int) {
+	x := t.one("fleet")
+	if x == nil {
+		return
+	}
+	fl := &Fleet{Listen: x.text("listen", ""), Join: x.texts("join"), Zone: x.text("zone", ""), Nodes: nodes,
+		Lease: x.time("lease", defaultLease), Settle: x.time("settle", defaultSettle), Probe: x.time("probe", defaultProbe)}
+	p.Fleet = fl
+	fl.Advertise = x.text("advertise", fl.Listen)
+	if err := ipAddress(fl.Listen, true); err != nil {
+		x.fault("listen", "%v", err)
+	}
+	if err := ipAddress(fl.Advertise, !x.has("advertise")); err != nil {
+		x.fault("advertise", "%v", err)
+	} else if host, _, _ := net.SplitHostPort(fl.Advertise); net.ParseIP(host).IsUnspecified() {
+		x.fault("advertise", "%s is no address that others can reach: say which one is", fl.Advertise)
+	}
+	if len(fl.Join) > maxListen {
+		x.fault("join", "%d members, %d at most", len(fl.Join), maxListen)
+		fl.Join = nil
+	}
+	for i, a := range fl.Join {
+		if err := address(a, false); err != nil {
+			x.fault(fmt.Sprintf("join[%d]", i), "%v", err)
+		}
+	}
+	if key := x.text("key", ""); x.has("key") {
+		var err error
+		if fl.Key, err = base64.StdEncoding.DecodeString(key); err != nil || !slices.Contains([]int{16, 24, 32}, len(fl.Key)) {
+			x.fault("key", "is not the base64 of 16, 24 or 32 bytes")
+		}
+	}
+	if len(fl.Zone) > membership.MaxZone {
+		x.fault("zone", "is longer than %d bytes", membership.MaxZone)
+	}
+	for _, d := range []struct {
+		key         string
+		is          time.Duration
+		least, most time.Duration
+	}{{"lease", fl.Lease, 500 * time.Millisecond, time.Minute}, {"settle", fl.Settle, 100 * time.Millisecond, time.Minute},
+		{"probe", fl.Probe, 50 * time.Millisecond, 10 * time.Second}} {
+		if d.is < d.least || d.is > d.most {
+			x.fault(d.key, "%v is not between %v and %v", d.is, d.least, d.most)
+		}
+	}
+	if !membership.GoodName(p.Name) {
+		t.fault("name", "%q can't be a member's: 1 to %d visible characters without spaces", p.Name, membership.MaxName)
+	} else if !t.has("name") {
+		x.fault("listen", "a member needs a name of its own: say name = \"...\" at the top of the file")
+	}
+	if !t.has("nodes") {
+		x.fault("listen", "say nodes = ... at the top of the file: how many nodes the fleet starts with, at least")
+	}
+	if t.has("index") {
+		t.fault("index", "is of no effect with [fleet], which finds it out")
+	}
+	x.end()
+}
+
+// ipAddress checks a host:port whose host is an IP address.
+func ipAddress(s string, listener bool) error {
+	if err := address(s, listener); err != nil {
+		return err
+	}
+	if host, _, _ := net.SplitHostPort(s); net.ParseIP(host) == nil {
+		return fmt.Errorf("%q has no IP address", s)
+	}
+	return nil
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -96,6 +96,7 @@
 		p.Pools = append(p.Pools, pool)
 	}
 	f.zones(t, tables, &p, int(nodes))
+	f.fleet(t, &p, int(nodes))
 	f.limits(t, tables, &p)
 	if !windowed && p.MemoryMB > 0 {
 		// What all callers may have on its way at once is no more than there is room for bodies.
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -26,10 +26,24 @@
 	ExtProc  *ExtProc     // nil: no proxies ask
 	Admin    string       // host:port on loopback where the node tells what it holds; "": nowhere
 	Zones    *Zones       // nil: zones are not told apart
+	Fleet    *Fleet       // nil: what others there are is told by nodes and index alone
 	Operator string       // host:port where operators call; "": nowhere
 	State    string       // directory for what a successor of this process is to find; "": none
 }
 
+// Fleet says how this node finds the others (docs/fleet.md).
+type Fleet struct {
+	Listen    string   // host:port, TCP and UDP
+	Advertise string   // host:port that the others reach it at
+	Join      []string // members to ask at the start
+	Key       []byte   // that all members share; nil: in the clear
+	Zone      string
+	Nodes     int           // that start the fleet
+	Lease     time.Duration // for which a grant holds
+	Settle    time.Duration // until who comes or goes counts as there or not
+	Probe     time.Duration // between probes of members
+}
+
 // Zones says where the load of a zone goes (docs/zones.md).
 type Zones struct {
 	Config zone.Config  // but for what depends on the pool
@@ -163,5 +177,8 @@
 	defaultRetryHeader  = "x-cranegrade-retry"
 	defaultTimeout      = 15 * time.Second // the specification's
 	defaultGrace        = 30 * time.Second
+	defaultLease        = 5 * time.Second
+	defaultSettle       = time.Second
+	defaultProbe        = 300 * time.Millisecond
 	defaultMaxResponse  = 16 << 20
 )
