--- a/cmd/drill/extproc.go
+++ b/cmd/drill/extproc.go
@@ -6,10 +6,10 @@
 	"os"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"hollyspur/internal/envoyconf"
+	rigs "hollyspur/internal/rig"
 	"hollyspur/internal/standin"
 	"hollyspur/internal/standin/proxy"
 )
@@ -21,7 +21,7 @@
 
 // proxies starts proxies that ask the program.
 func (r *rig) proxies(n int, cfg proxy.Config) (l []*proxy.Proxy, err error) {
-	cfg.Processor, cfg.Classes = r.node.addr, allClasses
+	cfg.Processor, cfg.Classes = r.node.Addr, allClasses
 	for _, g := range r.groups {
 		for _, s := range g.servers {
 			cfg.Endpoints = append(cfg.Endpoints, s.Addr())
@@ -205,12 +205,8 @@
 			}
 		})
 		r.at(ctx, &faults, 0.7, func() { // the processor dies with what it has, and starts again at its address
-			r.node.mu.Lock()
-			r.node.told = true
-			r.node.mu.Unlock()
-			r.node.cmd.Process.Signal(syscall.SIGKILL)
-			<-r.node.ended
-			again, err := r.again(a.text(r.node.addr))
+			r.node.Kill()
+			again, err := r.again(a.text(r.node.Addr))
 			if err != nil {
 				r.failf("starting the processor again: %v", err)
 				return
@@ -236,9 +232,9 @@
 }
 
 // again starts the program once more.
-func (r *rig) again(file string) (*program, error) {
-	if err := os.WriteFile(r.node.config, []byte(file), 0o600); err != nil {
+func (r *rig) again(file string) (*rigs.Process, error) {
+	if err := os.WriteFile(r.node.Config, []byte(file), 0o600); err != nil {
 		return nil, err
 	}
-	return startProgram(r.program, r.node.config)
+	return rigs.Start(r.program, r.node.Config)
 }
--- a/cmd/drill/load.go
+++ b/cmd/drill/load.go
@@ -13,10 +13,11 @@
 	"path/filepath"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	rigs "hollyspur/internal/rig"
 )
 
 const (
@@ -141,11 +142,11 @@
 	}
 	cmd := exec.Command(path)
 	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config)
-	p, err := startCommand(cmd, config)
+	p, err := rigs.StartCommand(cmd, config)
 	if err != nil {
 		return round{}, err
 	}
-	defer p.stop()
+	defer p.Stop()
 	r.node = p
 	ctx, cancel := context.WithTimeout(ctx, length+length/4)
 	defer cancel()
@@ -155,7 +156,7 @@
 	times := make([][]time.Duration, loadCallers)
 	for i := range loadCallers {
 		all.Go(func() {
-			c, err := net.Dial("tcp", p.addr)
+			c, err := net.Dial("tcp", p.Addr)
 			if err != nil {
 				failed.Add(1)
 				return
@@ -179,9 +180,9 @@
 		})
 	}
 	time.Sleep(time.Until(warm))
-	before := p.cpu()
+	before := p.CPU()
 	all.Wait()
-	used := p.cpu() - before
+	used := p.CPU() - before
 	sorted := slices.Concat(times...)
 	slices.Sort(sorted)
 	if n := failed.Load(); n > 0 || len(sorted) == 0 {
@@ -190,20 +191,3 @@
 	n := time.Duration(len(sorted))
 	return round{rate: float64(n) / length.Seconds(), p50: quantile(sorted, 0.5), p99: quantile(sorted, 0.99), cpu: used / n}, nil
 }
-
-// cpu is the processor time that the program has used, from /proc; 0 where there is none.
-func (p *program) cpu() time.Duration {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	// After the name in brackets: the 12th and 13th fields are user and system time in ticks of 10 ms.
-	_, rest, _ := strings.Cut(string(text), ") ")
-	fields := strings.Fields(rest)
-	if len(fields) < 13 {
-		return 0
-	}
-	user, _ := strconv.Atoi(fields[11])
-	system, _ := strconv.Atoi(fields[12])
-	return time.Duration(user+system) * 10 * time.Millisecond
-}
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -133,17 +133,17 @@
 	if err != nil {
 		fmt.Fprintf(stderr, "drill %s: %v\n", s.name, err)
 		if r != nil && r.node != nil {
-			fmt.Fprintf(stderr, "the program's last lines:\n%s\n", r.node.tail())
+			fmt.Fprintf(stderr, "the program's last lines:\n%s\n", r.node.Tail())
 		}
 		return 1
 	}
 	v := audit.Judge(r.rec.View(), audit.Options{Slack: o.slack})
-	if r.node.crashed() {
+	if r.node.Crashed() {
 		r.failf("the program ended by itself")
 	}
 	report(stdout, o, s.name, v, r)
 	if o.verbose {
-		fmt.Fprintln(stderr, r.node.tail())
+		fmt.Fprintln(stderr, r.node.Tail())
 	}
 	if o.stay && !o.json {
 		r.stay(ctx, stdout)
--- a/cmd/drill/operators.go
+++ b/cmd/drill/operators.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"hollyspur/internal/opsport"
+	rigs "hollyspur/internal/rig"
 	"hollyspur/internal/standin"
 )
 
@@ -48,8 +49,8 @@
 }
 
 // call makes an operator's call at a program, and wants a yes within the second.
-func (r *rig) call(p *program, verb opsport.Verb, id string) {
-	addr, err := p.operators()
+func (r *rig) call(p *rigs.Process, verb opsport.Verb, id string) {
+	addr, err := operatorsOf(p)
 	if err != nil {
 		r.failf("%v", err)
 		return
@@ -78,9 +79,9 @@
 }
 
 // operators is the address where a program takes operators' calls.
-func (p *program) operators() (addr string, err error) {
-	if await(10*time.Second, func() bool {
-		_, after, is := strings.Cut(p.tail(), "operators call on ")
+func operatorsOf(p *rigs.Process) (addr string, err error) {
+	if rigs.Await(10*time.Second, func() bool {
+		_, after, is := strings.Cut(p.Tail(), "operators call on ")
 		addr, _, _ = strings.Cut(after, "\n")
 		return is
 	}) {
@@ -95,16 +96,16 @@
 	if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
 		return err
 	}
-	next, err := startProgram(r.program, path)
+	next, err := rigs.Start(r.program, path)
 	if err != nil {
 		return err
 	}
 	old := r.node
-	addr, err := next.operators()
+	addr, err := operatorsOf(next)
 	if err != nil {
 		return err
 	}
-	if !await(6*time.Second, func() bool {
+	if !rigs.Await(6*time.Second, func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		yes, _, err := opsport.Ask(ctx, addr, opsport.Call{Verb: opsport.Check})
@@ -114,9 +115,9 @@
 	}
 	r.node = next
 	began := time.Now()
-	old.stop()
-	if code := old.cmd.ProcessState.ExitCode(); code != 0 {
-		r.failf("the process before ended with %d:\n%s", code, old.tail())
+	old.Stop()
+	if code := old.Cmd.ProcessState.ExitCode(); code != 0 {
+		r.failf("the process before ended with %d:\n%s", code, old.Tail())
 	}
 	r.bansMu.Lock()
 	r.gaveWay = append(r.gaveWay, time.Since(began))
@@ -144,7 +145,7 @@
 	if err := r.settle(g); err != nil {
 		return err
 	}
-	addr := r.node.addr
+	addr := r.node.Addr
 	var faults sync.WaitGroup
 	var upgrading sync.Mutex // r.node changes under it
 	upgrade := func() {
--- a/cmd/drill/overload.go
+++ b/cmd/drill/overload.go
@@ -199,7 +199,7 @@
 	if err := r.start(file); err != nil {
 		return overloadRow{}, err
 	}
-	at(r.node.addr)
+	at(r.node.Addr)
 	if err := r.settle(s.upper, s.lower); err != nil {
 		return overloadRow{}, err
 	}
--- a/cmd/drill/plant.go
+++ b/cmd/drill/plant.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	rigs "hollyspur/internal/rig"
 	"hollyspur/internal/standin"
 )
 
@@ -45,7 +46,7 @@
 
 // served waits for a request of a class that was served, and says at which server and host.
 func (r *rig) served(classes ...standin.Class) (x standin.Exchange, a standin.Arrival, c standin.Class, err error) {
-	if !await(plantTime, func() bool {
+	if !rigs.Await(plantTime, func() bool {
 		v := r.rec.View()
 		ends := map[string]standin.Exchange{}
 		for _, x := range v.Exchanges {
@@ -100,7 +101,7 @@
 
 // told waits until the node has been told of a server's state.
 func (r *rig) told(server string, gone bool, boot int) error {
-	if !await(plantTime, func() bool {
+	if !rigs.Await(plantTime, func() bool {
 		l := r.rec.View().Told
 		for i := len(l) - 1; i >= 0; i-- {
 			if l[i].Server == server {
@@ -180,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	if !await(plantTime, func() bool { return r.isOut("") != "" }) {
+	if !rigs.Await(plantTime, func() bool { return r.isOut("") != "" }) {
 		return errors.New("this drill takes no server out by hand")
 	}
 	select {
--- a/cmd/drill/reload.go
+++ b/cmd/drill/reload.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	rigs "hollyspur/internal/rig"
 	"hollyspur/internal/standin"
 )
 
@@ -36,7 +37,7 @@
 	if err := r.settle(a, b, c); err != nil {
 		return err
 	}
-	before, residentBefore := r.node.resources()
+	before, residentBefore := r.node.Resources()
 
 	var faults sync.WaitGroup
 	reloads, bad := 0, 0
@@ -103,8 +104,8 @@
 	}
 	r.callers.Close()
 	var after, resident int
-	returned := await(20*time.Second, func() bool {
-		after, resident = r.node.resources()
+	returned := rigs.Await(20*time.Second, func() bool {
+		after, resident = r.node.Resources()
 		return after <= before+2
 	})
 	r.figure("reloads", reloads, "files read while requests ran")
@@ -116,7 +117,7 @@
 	if !returned && before > 0 {
 		r.failf("%d descriptors before and %d after", before, after)
 	}
-	if r.node.crashed() {
+	if r.node.Crashed() {
 		r.failf("the program ended")
 	}
 	v := r.rec.View()
--- a/cmd/drill/rig.go
+++ b/cmd/drill/rig.go
@@ -1,23 +1,17 @@
 package main
 
 import (
-	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"slices"
-	"strings"
 	"sync"
 	"syscall"
-	"text/tabwriter"
 	"time"
 
+	rigs "hollyspur/internal/rig"
 	"hollyspur/internal/standin"
 	"hollyspur/internal/standin/proxy"
 )
@@ -30,7 +24,7 @@
 	keys    *standin.Keys
 	dir     string
 	err     io.Writer
-	node    *program
+	node    *rigs.Process
 	groups  []*group
 	relay   *standin.Relay
 	callers *standin.Callers
@@ -67,14 +61,12 @@
 	list     func(s *standin.Server, state string) // has the list tell a server: SERVING, DRAINING or DELETED
 }
 
-// The classes of all drills. Their windows and deadlines are short, so that short drills reach them.
+// What all drills share with the rig.
 var (
-	readClass  = standin.Class{Name: "read", Effect: standin.Safe, Deadline: 2 * time.Second}
-	sendClass  = standin.Class{Name: "alert-send", Effect: standin.Keyed, Scope: standin.ScopeAll, Window: 10 * time.Second, Deadline: 3 * time.Second}
-	cellClass  = standin.Class{Name: "campaign-send", Effect: standin.Keyed, Scope: standin.ScopeCell, Window: 10 * time.Second, Deadline: 3 * time.Second}
-	orderClass = standin.Class{Name: "order", Effect: standin.Unsafe, Deadline: 3 * time.Second}
-	allClasses = []standin.Class{readClass, sendClass, cellClass, orderClass}
-	cold       = standin.Cold{From: 0.33, Warm: 4 * time.Second, Multiple: 4, For: 1500 * time.Millisecond}
+	readClass, sendClass, cellClass, orderClass = rigs.Read, rigs.Send, rigs.Cell, rigs.Order
+	allClasses, cold, usual                     = rigs.Classes, rigs.Cold, rigs.Usual
+	poolText, inCell                            = rigs.PoolText, rigs.InCell
+	times, quantile, streamTable, serverTable   = rigs.Times, rigs.Quantile, rigs.StreamTable, rigs.ServerTable
 )
 
 func newRig(o options, stderr io.Writer) (*rig, error) {
@@ -86,11 +78,9 @@
 	}
 	r.dir = dir
 	if r.program == "" {
-		r.program = filepath.Join(dir, "cranegrade")
-		build := exec.Command("go", "build", "-o", r.program, "hollyspur/cmd/cranegrade")
-		if out, err := build.CombinedOutput(); err != nil {
+		if r.program, err = rigs.Build(dir); err != nil {
 			r.close()
-			return nil, fmt.Errorf("building the program: %w\n%s", err, out)
+			return nil, err
 		}
 	}
 	return r, nil
@@ -104,7 +94,7 @@
 		p.Close()
 	}
 	if r.node != nil {
-		r.node.stop()
+		r.node.Stop()
 	}
 	for _, s := range r.sidecars {
 		s.Close()
@@ -158,25 +148,6 @@
 	return g, nil
 }
 
-// poolText is a pool of the operator's file, but for where its list comes from.
-func poolText(name, source string, more ...string) string {
-	var b strings.Builder
-	fmt.Fprintf(&b, "\n[[pools]]\nname = %q\n%s\nattempts = 4\n", name, source)
-	for _, m := range more {
-		fmt.Fprintln(&b, m)
-	}
-	fmt.Fprintf(&b, "connections = { idle = \"2s\", connect_within = \"250ms\" }\n")
-	fmt.Fprintf(&b, "cold = { from = %v, warm_after = %q, fall_multiple = %v, fall_for = %q }\n", cold.From, cold.Warm, cold.Multiple, cold.For)
-	for _, c := range allClasses {
-		effect := map[standin.Effect]string{standin.Safe: "safe", standin.Keyed: "keyed", standin.Unsafe: "unsafe"}[c.Effect]
-		fmt.Fprintf(&b, "[[pools.classes]]\nname = %q\neffect = %q\naim = \"500ms\"\ndeadline = %q\nlate_share = 0.5\n", c.Name, effect, c.Deadline)
-		if c.Effect == standin.Keyed {
-			fmt.Fprintf(&b, "scope = %q\nwindow = %q\n", map[standin.Scope]string{standin.ScopeAll: "all", standin.ScopeCell: "cell"}[c.Scope], c.Window)
-		}
-	}
-	return b.String()
-}
-
 func (g *group) registryText() string { return fmt.Sprintf("registry = %q", g.registry.Addr()) }
 
 // start starts the program with an operator's file, and the callers.
@@ -186,10 +157,10 @@
 		return err
 	}
 	var err error
-	if r.node, err = startProgram(r.program, path); err != nil {
+	if r.node, err = rigs.Start(r.program, path); err != nil {
 		return err
 	}
-	addr := r.node.addr
+	addr := r.node.Addr
 	if r.towards != nil {
 		s, err := r.towards(addr)
 		if err != nil {
@@ -210,33 +181,23 @@
 
 // rewrite gives the program another file and tells it to read that.
 func (r *rig) rewrite(file string) error {
-	if err := os.WriteFile(r.node.config, []byte(file), 0o600); err != nil {
+	if err := os.WriteFile(r.node.Config, []byte(file), 0o600); err != nil {
 		return err
 	}
-	return r.node.cmd.Process.Signal(syscall.SIGHUP)
+	return r.node.Cmd.Process.Signal(syscall.SIGHUP)
 }
 
 // settle waits until every watch that is wanted is open, so that traffic does not begin before lists
 // are told. It gives up, without an error, when that takes too long: a drill may want a dark registry.
 func (r *rig) settle(groups ...*group) error {
 	for _, g := range groups {
-		if !await(10*time.Second, func() bool { return g.registry.Watchers() > 0 }) {
+		if !rigs.Await(10*time.Second, func() bool { return g.registry.Watchers() > 0 }) {
 			return fmt.Errorf("the list of %s is not followed", g.name)
 		}
 	}
 	return nil
 }
 
-// await looks again and again, for as long as limit.
-func await(limit time.Duration, f func() bool) bool {
-	for end := time.Now().Add(limit); !f(); time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			return false
-		}
-	}
-	return true
-}
-
 // at runs f once a share of the drill's length has passed, unless ctx ends before.
 func (r *rig) at(ctx context.Context, all *sync.WaitGroup, share float64, f func()) {
 	all.Go(func() {
@@ -279,199 +240,12 @@
 	if ctx.Err() != nil {
 		return
 	}
-	fmt.Fprintf(w, "\nstill up; Ctrl-C ends it. The program (pid %d) listens on %s, its file is %s.\n", r.node.cmd.Process.Pid, r.node.addr, r.node.config)
+	fmt.Fprintf(w, "\nstill up; Ctrl-C ends it. The program (pid %d) listens on %s, its file is %s.\n", r.node.Cmd.Process.Pid, r.node.Addr, r.node.Config)
 	for _, g := range r.groups {
 		for _, s := range g.servers {
 			fmt.Fprintf(w, "  server %s on %s\n", s.ID(), s.Addr())
 		}
 	}
-	fmt.Fprintf(w, "try: curl -i -H 'Host: %s' -H 'X-Correlation-Id: me-1' -H 'X-Time-Left: 1000m' http://%s/read/1\n", r.groups[0].host, r.node.addr)
+	fmt.Fprintf(w, "try: curl -i -H 'Host: %s' -H 'X-Correlation-Id: me-1' -H 'X-Time-Left: 1000m' http://%s/read/1\n", r.groups[0].host, r.node.Addr)
 	<-ctx.Done()
 }
-
-// times are the sorted times to the answers of a stream's requests that were sent within a span.
-func times(l []standin.Exchange, keep func(standin.Exchange) bool) (t []time.Duration) {
-	for _, x := range l {
-		if keep(x) && x.Status == 200 {
-			t = append(t, x.Answered-x.Sent)
-		}
-	}
-	slices.Sort(t)
-	return t
-}
-
-func quantile(sorted []time.Duration, q float64) time.Duration {
-	if len(sorted) == 0 {
-		return 0
-	}
-	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
-}
-
-// streamTable tells what became of each stream.
-func streamTable(v standin.View) string {
-	type row struct{ n, served, refused, failed int }
-	rows := map[string]*row{}
-	for _, x := range v.Exchanges {
-		w := rows[x.Stream]
-		if w == nil {
-			w = &row{}
-			rows[x.Stream] = w
-		}
-		w.n++
-		switch x.Status {
-		case 200:
-			w.served++
-		case 429, 503:
-			w.refused++
-		default:
-			w.failed++
-		}
-	}
-	var b strings.Builder
-	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "stream\trequests\tserved\trefused\tfailed\tp50 ms\tp99 ms")
-	for _, n := range slices.Sorted(maps.Keys(rows)) {
-		w := rows[n]
-		l := times(v.Exchanges, func(x standin.Exchange) bool { return x.Stream == n })
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\n", n, w.n, w.served, w.refused, w.failed,
-			quantile(l, 0.5).Seconds()*1000, quantile(l, 0.99).Seconds()*1000)
-	}
-	t.Flush()
-	return b.String()
-}
-
-// serverTable tells what each server got.
-func serverTable(v standin.View) string {
-	type row struct{ n, ran, repeats, away int }
-	rows := map[string]*row{}
-	for _, a := range v.Arrivals {
-		w := rows[a.Server]
-		if w == nil {
-			w = &row{}
-			rows[a.Server] = w
-		}
-		w.n++
-		if a.Ran {
-			w.ran++
-		}
-		if a.Repeat {
-			w.repeats++
-		}
-		if a.Unprocessed {
-			w.away++
-		}
-	}
-	var b strings.Builder
-	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "server\tattempts\tran\trepeats dropped\tturned away")
-	for _, n := range slices.Sorted(maps.Keys(rows)) {
-		w := rows[n]
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\n", n, w.n, w.ran, w.repeats, w.away)
-	}
-	t.Flush()
-	return b.String()
-}
-
-// program is the real program, running.
-type program struct {
-	cmd    *exec.Cmd
-	config string
-	addr   string
-	ended  chan struct{}
-
-	mu    sync.Mutex // guards lines and told
-	lines []string
-	told  bool // to stop
-}
-
-// startProgram starts the program and waits until it listens.
-func startProgram(path, config string) (*program, error) {
-	return startCommand(exec.Command(path, "-config", config), config)
-}
-
-func startCommand(cmd *exec.Cmd, config string) (*program, error) {
-	p := &program{cmd: cmd, config: config, ended: make(chan struct{})}
-	stderr, err := p.cmd.StderrPipe()
-	if err != nil {
-		return nil, err
-	}
-	if err := p.cmd.Start(); err != nil {
-		return nil, fmt.Errorf("starting the program: %w", err)
-	}
-	listening := make(chan string, 1)
-	go func() {
-		lines := bufio.NewScanner(stderr)
-		for lines.Scan() {
-			p.mu.Lock()
-			if p.lines = append(p.lines, lines.Text()); len(p.lines) > 200 {
-				p.lines = p.lines[1:]
-			}
-			p.mu.Unlock()
-			if _, addr, is := strings.Cut(lines.Text(), "listening on "); is {
-				select {
-				case listening <- addr:
-				default:
-				}
-			}
-		}
-		p.cmd.Wait()
-		close(p.ended)
-	}()
-	select {
-	case p.addr = <-listening:
-		return p, nil
-	case <-p.ended:
-		return nil, errors.New("the program ended at once:\n" + p.tail())
-	case <-time.After(20 * time.Second):
-		p.stop()
-		return nil, errors.New("the program does not listen:\n" + p.tail())
-	}
-}
-
-func (p *program) tail() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return strings.Join(p.lines, "\n")
-}
-
-// crashed says that the program ended without being told to.
-func (p *program) crashed() bool {
-	select {
-	case <-p.ended:
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return !p.told
-	default:
-		return false
-	}
-}
-
-// stop ends the program, and waits for it.
-func (p *program) stop() {
-	p.mu.Lock()
-	p.told = true
-	p.mu.Unlock()
-	p.cmd.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-p.ended:
-	case <-time.After(10 * time.Second):
-		p.cmd.Process.Kill()
-		<-p.ended
-	}
-}
-
-// resources are what the program holds, from /proc; zeros where there is none.
-func (p *program) resources() (descriptors int, residentKB int) {
-	dir := fmt.Sprintf("/proc/%d", p.cmd.Process.Pid)
-	if l, err := os.ReadDir(dir + "/fd"); err == nil {
-		descriptors = len(l)
-	}
-	text, err := os.ReadFile(dir + "/status")
-	if err != nil {
-		return descriptors, 0
-	}
-	for _, line := range strings.Split(string(text), "\n") {
-		fmt.Sscanf(line, "VmRSS: %d kB", &residentKB)
-	}
-	return descriptors, residentKB
-}
--- a/cmd/drill/tour.go
+++ b/cmd/drill/tour.go
@@ -8,15 +8,6 @@
 	"hollyspur/internal/standin"
 )
 
-// usual is a server that serves 400 requests a second.
-var usual = standin.ServerConfig{Slots: 4, Queue: 16, Work: 10 * time.Millisecond, Choke: 0.02, Cold: cold, Zone: "a"}
-
-// inCell is the same in a cell.
-func inCell(s standin.ServerConfig, cell int) standin.ServerConfig {
-	s.Cell = cell
-	return s
-}
-
 // tour is a first look: one pool, three servers, every class; one server drains and comes back, one
 // crashes and starts again.
 func tour(ctx context.Context, r *rig) error {
--- a/cmd/drill/xds.go
+++ b/cmd/drill/xds.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/types/known/anypb"
 	"google.golang.org/protobuf/types/known/structpb"
 
+	rigs "hollyspur/internal/rig"
 	"hollyspur/internal/standin"
 	standinxds "hollyspur/internal/standin/xds"
 	"hollyspur/internal/xds/resource"
@@ -174,14 +175,14 @@
 	if err := r.start(file); err != nil {
 		return err
 	}
-	_, residentBefore := r.node.resources()
-	if !await(20*time.Second, func() bool {
+	_, residentBefore := r.node.Resources()
+	if !rigs.Await(20*time.Second, func() bool {
 		x := r.callers.Do(standin.Stream{Host: host, Class: readClass})
 		return x.Status == 200
 	}) {
 		return fmt.Errorf("nothing is served by the control plane's list")
 	}
-	cpu := r.node.cpu()
+	cpu := r.node.CPU()
 	var faults sync.WaitGroup
 	changes := 0
 	playing, over := context.WithTimeout(ctx, r.length)
@@ -232,7 +233,7 @@
 		standin.Stream{Host: host, Class: orderClass, Rate: 50, Body: 100}); err != nil {
 		return err
 	}
-	_, resident := r.node.resources()
+	_, resident := r.node.Resources()
 	v := r.rec.View()
 	after := afterDrains(v)
 	r.figure("variant", map[bool]string{true: "delta", false: "state of the world"}[delta], "")
@@ -241,7 +242,7 @@
 	r.figure("drains", len(after), "servers drained or removed")
 	r.figure("after_drain_max_ms", quantile(after, 1), "from the write to the last first byte at the server; 250 is allowed")
 	r.figure("after_drain_p99_ms", quantile(after, 0.99), "")
-	r.figure("cpu_share", (r.node.cpu()-cpu).Seconds()/r.length.Seconds(), "of one core, by the program")
+	r.figure("cpu_share", (r.node.CPU()-cpu).Seconds()/r.length.Seconds(), "of one core, by the program")
 	r.figure("resident_start_kb", residentBefore, "of the program, before the list")
 	r.figure("resident_end_kb", resident, "")
 	if len(after) == 0 && r.plant == "" {
--- a/cmd/drill/xdssize.go
+++ b/cmd/drill/xdssize.go
@@ -12,6 +12,7 @@
 	clusterv3 "github.com/envoyproxy/go-control-plane/envoy/config/cluster/v3"
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 
+	rigs "hollyspur/internal/rig"
 	standinxds "hollyspur/internal/standin/xds"
 	"hollyspur/internal/xds/resource"
 )
@@ -67,16 +68,16 @@
 		}
 		return n
 	}
-	if !await(20*time.Second, func() bool { return acks() > 0 }) {
+	if !rigs.Await(20*time.Second, func() bool { return acks() > 0 }) {
 		return fmt.Errorf("the assignments are not taken")
 	}
 	settled := time.Second
 	time.Sleep(settled)
-	idle := r.node.cpu()
+	idle := r.node.CPU()
 	time.Sleep(settled)
-	idle = r.node.cpu() - idle // what the program costs a second without changes
-	before, cpu, start := acks(), r.node.cpu(), time.Now()
-	_, early := r.node.resources()
+	idle = r.node.CPU() - idle // what the program costs a second without changes
+	before, cpu, start := acks(), r.node.CPU(), time.Now()
+	_, early := r.node.Resources()
 	changes := 0
 	tick := time.NewTicker(time.Second / sizeRate)
 	defer tick.Stop()
@@ -100,11 +101,11 @@
 		plane.Set(resource.EndpointURL, map[string]proto.Message{a.ClusterName: a})
 		changes++
 	}
-	if !await(10*time.Second, func() bool { return acks()-before >= changes }) {
+	if !rigs.Await(10*time.Second, func() bool { return acks()-before >= changes }) {
 		r.failf("%d changes, and %d acknowledged", changes, acks()-before)
 	}
-	used := r.node.cpu() - cpu - time.Duration(time.Since(start).Seconds()*float64(idle)/settled.Seconds())
-	_, late := r.node.resources()
+	used := r.node.CPU() - cpu - time.Duration(time.Since(start).Seconds()*float64(idle)/settled.Seconds())
+	_, late := r.node.Resources()
 	r.figure("clusters", sizeClusters, fmt.Sprintf("each a pool of %d endpoints", sizeEndpoints))
 	r.figure("changes", changes, "of one endpoint each")
 	r.figure("cpu_us_per_change", float64(used.Microseconds())/float64(max(1, changes)), "of the program, beyond what it costs idle")
--- a/cmd/drill/zones.go
+++ b/cmd/drill/zones.go
@@ -97,7 +97,7 @@
 		standin.Stream{Host: host, Class: cellClass, Rate: 20, Body: 100}); err != nil {
 		return err
 	}
-	r.node.stop() // what it holds is in the file now
+	r.node.Stop() // what it holds is in the file now
 	kept, err := r.zoneAccount()
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/rig/stage.go
@@ -0,0 +1,132 @@
+package rig
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"hollyspur/internal/standin"
+)
+
+// The classes of all drills. Their windows and deadlines are short, so that short drills reach them.
+var (
+	Read    = standin.Class{Name: "read", Effect: standin.Safe, Deadline: 2 * time.Second}
+	Send    = standin.Class{Name: "alert-send", Effect: standin.Keyed, Scope: standin.ScopeAll, Window: 10 * time.Second, Deadline: 3 * time.Second}
+	Cell    = standin.Class{Name: "campaign-send", Effect: standin.Keyed, Scope: standin.ScopeCell, Window: 10 * time.Second, Deadline: 3 * time.Second}
+	Order   = standin.Class{Name: "order", Effect: standin.Unsafe, Deadline: 3 * time.Second}
+	Classes = []standin.Class{Read, Send, Cell, Order}
+	Cold    = standin.Cold{From: 0.33, Warm: 4 * time.Second, Multiple: 4, For: 1500 * time.Millisecond}
+	// Usual is a server that serves 400 requests a second.
+	Usual = standin.ServerConfig{Slots: 4, Queue: 16, Work: 10 * time.Millisecond, Choke: 0.02, Cold: Cold, Zone: "a"}
+)
+
+// InCell is the same in a cell.
+func InCell(s standin.ServerConfig, cell int) standin.ServerConfig {
+	s.Cell = cell
+	return s
+}
+
+// PoolText is a pool of the operator's file, but for where its list comes from.
+func PoolText(name, source string, more ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "\n[[pools]]\nname = %q\n%s\nattempts = 4\n", name, source)
+	for _, m := range more {
+		fmt.Fprintln(&b, m)
+	}
+	fmt.Fprintf(&b, "connections = { idle = \"2s\", connect_within = \"250ms\" }\n")
+	fmt.Fprintf(&b, "cold = { from = %v, warm_after = %q, fall_multiple = %v, fall_for = %q }\n", Cold.From, Cold.Warm, Cold.Multiple, Cold.For)
+	for _, c := range Classes {
+		effect := map[standin.Effect]string{standin.Safe: "safe", standin.Keyed: "keyed", standin.Unsafe: "unsafe"}[c.Effect]
+		fmt.Fprintf(&b, "[[pools.classes]]\nname = %q\neffect = %q\naim = \"500ms\"\ndeadline = %q\nlate_share = 0.5\n", c.Name, effect, c.Deadline)
+		if c.Effect == standin.Keyed {
+			fmt.Fprintf(&b, "scope = %q\nwindow = %q\n", map[standin.Scope]string{standin.ScopeAll: "all", standin.ScopeCell: "cell"}[c.Scope], c.Window)
+		}
+	}
+	return b.String()
+}
+
+// Times are the sorted times to the answers of a stream's requests that were sent within a span.
+func Times(l []standin.Exchange, keep func(standin.Exchange) bool) (t []time.Duration) {
+	for _, x := range l {
+		if keep(x) && x.Status == 200 {
+			t = append(t, x.Answered-x.Sent)
+		}
+	}
+	slices.Sort(t)
+	return t
+}
+
+func Quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+// StreamTable tells what became of each stream.
+func StreamTable(v standin.View) string {
+	type row struct{ n, served, refused, failed int }
+	rows := map[string]*row{}
+	for _, x := range v.Exchanges {
+		w := rows[x.Stream]
+		if w == nil {
+			w = &row{}
+			rows[x.Stream] = w
+		}
+		w.n++
+		switch x.Status {
+		case 200:
+			w.served++
+		case 429, 503:
+			w.refused++
+		default:
+			w.failed++
+		}
+	}
+	var b strings.Builder
+	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "stream\trequests\tserved\trefused\tfailed\tp50 ms\tp99 ms")
+	for _, n := range slices.Sorted(maps.Keys(rows)) {
+		w := rows[n]
+		l := Times(v.Exchanges, func(x standin.Exchange) bool { return x.Stream == n })
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\n", n, w.n, w.served, w.refused, w.failed,
+			Quantile(l, 0.5).Seconds()*1000, Quantile(l, 0.99).Seconds()*1000)
+	}
+	t.Flush()
+	return b.String()
+}
+
+// ServerTable tells what each server got.
+func ServerTable(v standin.View) string {
+	type row struct{ n, ran, repeats, away int }
+	rows := map[string]*row{}
+	for _, a := range v.Arrivals {
+		w := rows[a.Server]
+		if w == nil {
+			w = &row{}
+			rows[a.Server] = w
+		}
+		w.n++
+		if a.Ran {
+			w.ran++
+		}
+		if a.Repeat {
+			w.repeats++
+		}
+		if a.Unprocessed {
+			w.away++
+		}
+	}
+	var b strings.Builder
+	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "server\tattempts\tran\trepeats dropped\tturned away")
+	for _, n := range slices.Sorted(maps.Keys(rows)) {
+		w := rows[n]
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\n", n, w.n, w.ran, w.repeats, w.away)
+	}
+	t.Flush()
+	return b.String()
+}
