--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,6 +67,7 @@
 	retry   time.Duration
 	retryAt time.Duration
 	closed  bool
+	tries   int // to reach who is lost, in vain
 }
 
 // Stall is a time in which this process did not run.
@@ -134,7 +136,6 @@
 	c.TCPTimeout, c.GossipInterval, c.PushPullInterval = 2*time.Second, min(200*time.Millisecond, f.cfg.Probe), 10*time.Second
 	// Members that have failed are gossiped to for so long, so that one that only seemed to have hears it and says no.
 	c.GossipToTheDeadTime, c.DeadNodeReclaimTime = time.Minute, time.Millisecond
-	c.RequireNodeNames = true
 	c.Delegate, c.Events, c.Conflict, c.Alive = delegate{f}, delegate{f}, delegate{f}, delegate{f}
 	l, err := memberlist.Create(c)
 	if err != nil {
@@ -296,7 +297,9 @@
 			}
 		} else {
 			rand.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
-			l.Join(lost[:min(len(lost), 3)]) // who is not reached is tried again
+			if n, err := l.Join(lost[:min(len(lost), 3)]); n == 0 && err != nil {
+				f.unreached(err)
+			}
 		}
 		f.mu.Lock()
 		f.dialing = false
@@ -305,6 +308,16 @@
 	})
 }
 
+// unreached says why nobody was reached, at first and after ever more tries.
+func (f *Fleet) unreached(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.tries++; f.tries&(f.tries-1) == 0 {
+		text := strings.Join(strings.Fields(err.Error()), " ")
+		log.Printf("fleet: nobody was reached, in %d tries, the last: %s", f.tries, text[:min(len(text), maxLogLine)])
+	}
+}
+
 func (f *Fleet) wake() {
 	select {
 	case f.poke <- struct{}{}:
--- /dev/null
+++ b/internal/rig/schedule.go
@@ -0,0 +1,154 @@
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Fault is one thing that is done to a fleet.
+type Fault struct {
+	At      time.Duration `json:"at"` // since the beginning of the schedule
+	What    string        `json:"what"`
+	Members []int         `json:"members,omitempty"` // whom it is done to
+	Server  int           `json:"server,omitempty"`
+	Parts   [][]int       `json:"parts,omitempty"`
+	Link    *Link         `json:"link,omitempty"`
+	For     time.Duration `json:"for,omitempty"` // until it is undone
+}
+
+// What may be done.
+const (
+	KillMembers  = "kill"   // SIGKILL, and a start again after For
+	StopMembers  = "stop"   // SIGSTOP, and SIGCONT after For
+	LeaveMembers = "leave"  // SIGTERM, and a start again after For
+	CutParts     = "part"   // every way between the parts
+	BreakOneWay  = "oneway" // from Members[0] to all others
+	AllLinks     = "links"  // Link on every way
+	RollServers  = "roll"   // a server is restarted, cold
+)
+
+// Schedule is faults in the order of time.
+type Schedule []Fault
+
+// String is the schedule as it can be written down and played again.
+func (s Schedule) String() string {
+	b, _ := json.Marshal(s)
+	return string(b)
+}
+
+// Draw draws a schedule for members of a fleet from a seed: faults of all kinds, one after the other or together, the
+// last of them undone before the end. At least a majority of the members is let live.
+func Draw(seed uint64, members, servers int, length time.Duration) (s Schedule) {
+	rng := rand.New(rand.NewPCG(seed, 0xfa17))
+	up := func(to time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(to))) }
+	some := func(most int) []int { return rng.Perm(members)[:1+rng.IntN(max(1, most))] }
+	minority := (members - 1) / 2
+	busy := 0 * time.Second // until when a member is dead, so that no two such faults take the majority
+	for at := length / 20; at < length*7/10; at += length/20 + up(length/8) {
+		left := length*17/20 - at
+		f := Fault{At: at, For: min(left, length/20+up(length/4))}
+		switch k := rng.IntN(8); {
+		case k < 3 && at >= busy && minority > 0:
+			f.What, f.Members = []string{KillMembers, StopMembers, LeaveMembers}[k], some(minority)
+			busy = at + f.For + length/20
+		case k == 3:
+			cut := 1 + rng.IntN(max(1, members-1))
+			p := rng.Perm(members)
+			f.What, f.Parts = CutParts, [][]int{p[:cut], p[cut:]}
+		case k == 4:
+			f.What, f.Members = BreakOneWay, some(1)
+		case k == 5:
+			f.What, f.Link = AllLinks, &Link{Loss: 0.3 * rng.Float64(), Duplicate: 0.2 * rng.Float64(), Delay: up(200 * time.Millisecond), Jitter: 1 + up(200*time.Millisecond)}
+		default:
+			f.What, f.Server, f.For = RollServers, rng.IntN(servers), 300*time.Millisecond
+		}
+		s = append(s, f)
+	}
+	return s
+}
+
+// Play does what a schedule says and returns once the last fault is undone, or ctx ends. tell hears of each.
+func (f *Fleet) Play(ctx context.Context, s Schedule, tell func(string)) error {
+	type step struct {
+		at time.Duration
+		do func() error
+		as string
+	}
+	var steps []step
+	for _, x := range s {
+		do, undo := f.fault(x)
+		steps = append(steps, step{x.At, do, x.What})
+		if undo != nil {
+			steps = append(steps, step{x.At + x.For, undo, "end of " + x.What})
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b step) int { return int(a.at - b.at) })
+	began := time.Now()
+	for _, x := range steps {
+		select {
+		case <-time.After(x.at - time.Since(began)):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		tell(fmt.Sprintf("%6.2fs %s", time.Since(began).Seconds(), x.as))
+		if err := x.do(); err != nil {
+			return fmt.Errorf("%s: %w", x.as, err)
+		}
+	}
+	return nil
+}
+
+// fault is how to do something, and how to undo it.
+func (f *Fleet) fault(x Fault) (do, undo func() error) {
+	each := func(g func(m *Member) error) func() error {
+		return func() error {
+			for _, i := range x.Members {
+				if err := g(f.Members[i]); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+	}
+	quiet := func(g func(m *Member)) func() error {
+		return each(func(m *Member) error { g(m); return nil })
+	}
+	again := each(func(m *Member) error { return m.Start() })
+	heal := func() error { f.Fabric.Heal(); return nil }
+	switch x.What {
+	case KillMembers:
+		return quiet((*Member).Kill), again
+	case StopMembers:
+		return quiet((*Member).Pause), quiet((*Member).Resume)
+	case LeaveMembers:
+		return quiet((*Member).Leave), again
+	case CutParts:
+		return func() error { f.Fabric.Part(x.Parts...); return nil }, heal
+	case BreakOneWay:
+		return func() error {
+			for i := range f.Members {
+				if i != x.Members[0] {
+					f.Fabric.Set(x.Members[0], i, Link{Cut: true})
+				}
+			}
+			return nil
+		}, heal
+	case AllLinks:
+		return func() error { f.Fabric.All(*x.Link); return nil }, heal
+	case RollServers:
+		s := f.Servers[x.Server]
+		return func() error { f.Registry.Set(s, "DRAINING"); return nil }, func() error {
+			s.Crash()
+			if err := s.Restart(); err != nil {
+				return err
+			}
+			f.Registry.Set(s, "SERVING")
+			return nil
+		}
+	}
+	return func() error { return fmt.Errorf("no fault %q", x.What) }, nil
+}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -39,6 +39,7 @@
 	addr string
 	rng  *rand.Rand
 	slow time.Duration // how long over its deadline an answer is still waited for
+	via  string
 
 	mu     sync.Mutex // guards all below
 	idle   []*callerConn
@@ -63,6 +64,9 @@
 		next: seed << 32}
 }
 
+// Through has the records name the process that these callers ask. It is called before the first request.
+func (c *Callers) Through(via string) { c.via = via }
+
 // Unsent is how many requests of a stream were not sent, for too many were open.
 func (c *Callers) Unsent(stream string) int {
 	c.mu.Lock()
@@ -152,7 +156,7 @@
 	if name == "" {
 		name = s.Class.Name
 	}
-	x := &Exchange{ID: id, Class: s.Class.Name, Stream: name}
+	x := &Exchange{ID: id, Class: s.Class.Name, Stream: name, Via: c.via}
 	path := s.Path
 	if path == "" {
 		path = "/" + s.Class.Name + "/" + id
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -63,11 +63,19 @@
 	Answered       time.Duration // when the last byte of the answer came
 	Status         int           // 0: no whole answer came
 	RetryAfter     bool
-	Foreign        bool  // a 200 whose body no server made for it
-	Surplus        bool  // bytes followed the answer that belong to no request
-	Err            error // of one without a whole answer
-	Connected      bool  // a connection took it; else it was never accepted
-	Crossed        bool  // it was sent once more, for its connection had been closed meanwhile
+	Foreign        bool   // a 200 whose body no server made for it
+	Surplus        bool   // bytes followed the answer that belong to no request
+	Err            error  // of one without a whole answer
+	Connected      bool   // a connection took it; else it was never accepted
+	Crossed        bool   // it was sent once more, for its connection had been closed meanwhile
+	Via            string // the process that was asked, where there are several
+}
+
+// Outage is a time in which a process was dead or stopped, by the rig's own hand.
+type Outage struct {
+	Via      string
+	From, To time.Duration // To 0: it lasts
+	Death    bool          // it lost all that it had; else it went on with that
 }
 
 // Told is news of a server as the registry wrote it to the node.
@@ -106,6 +114,25 @@
 	told      []Told
 	starts    []Start
 	falls     []Fall
+	outages   []Outage
+}
+
+// Out notes that a process is dead or stopped from now on, and Back that it is not any more.
+func (r *Records) Out(via string, death bool) {
+	at := r.Now()
+	r.update(func() { r.outages = append(r.outages, Outage{Via: via, From: at, Death: death}) })
+}
+
+// Back ends the outages of a process.
+func (r *Records) Back(via string) {
+	at := r.Now()
+	r.update(func() {
+		for i := range r.outages {
+			if o := &r.outages[i]; o.Via == via && o.To == 0 {
+				o.To = at
+			}
+		}
+	})
 }
 
 // NewRecords returns empty records whose clock starts now.
@@ -163,6 +190,7 @@
 	Told      []Told
 	Starts    []Start
 	Falls     []Fall
+	Outages   []Outage
 }
 
 // View copies the records, for an audit.
@@ -170,7 +198,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	v := View{Classes: r.Classes, Told: append([]Told(nil), r.told...),
-		Starts: append([]Start(nil), r.starts...), Falls: append([]Fall(nil), r.falls...)}
+		Starts: append([]Start(nil), r.starts...), Falls: append([]Fall(nil), r.falls...), Outages: append([]Outage(nil), r.outages...)}
 	for _, a := range r.arrivals {
 		v.Arrivals = append(v.Arrivals, *a)
 	}
