Real processes through partitions, one-way, slow and lossy links, flaps, twins, forgeries, seeds last

Change: TestPartitions (1+5, 3+3, three parts, a chain, one not heard, 400 ms, 30 % lost; each healed early and late, under load), TestComingAndGoing (growth from 1 to 5, rolling restart, back before it is missed, a copy of a running one, five at new addresses, all but one dead and forget), TestSeedsLast, TestFlapping, TestForged (noise, cut short, played twice, strangers with the key).

--- /dev/null
+++ b/internal/rig/faults_test.go
@@ -0,0 +1,307 @@
+package rig
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"hollyspur/internal/fleet"
+	"hollyspur/internal/fleet/membership"
+)
+
+// moves is how often a member's place moved at others, as they tell of it.
+func (f *Fleet) moves(t *testing.T, of string, at ...int) (n int) {
+	t.Helper()
+	for _, i := range at {
+		s, err := f.Members[i].Status()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range s.Changes {
+			if c.Name == of && strings.Contains(c.What, "count") {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestPartitions cuts links between six processes under load, each time for less than anything may come of it and then
+// for long enough: who has the majority goes on, nobody else has a part, and all is whole after it.
+func TestPartitions(t *testing.T) {
+	t.Parallel()
+	f := start(t, FleetConfig{Members: 6, Servers: 4, Seed: 2})
+	all := []int{0, 1, 2, 3, 4, 5}
+	f.agree(t, true, all...)
+	ctx, stop := context.WithCancel(context.Background())
+	var load sync.WaitGroup
+	for _, m := range f.Members {
+		m.Stream(ctx, &load, Traffic(20, time.Hour)...)
+	}
+	cut := func(from, to int) { f.Fabric.Set(from, to, Link{Cut: true}) }
+	for _, c := range []struct {
+		name     string
+		fault    func()
+		standing []int
+	}{
+		{"1 and 5", func() { f.Fabric.Part([]int{0}, []int{1, 2, 3, 4, 5}) }, []int{1, 2, 3, 4, 5}},
+		{"3 and 3", func() { f.Fabric.Part([]int{0, 1, 2}, []int{3, 4, 5}) }, nil},
+		{"three parts", func() { f.Fabric.Part([]int{0, 1}, []int{2, 3}, []int{4, 5}) }, nil},
+		{"a chain: 0 and 5 don't hear each other", func() { cut(0, 5); cut(5, 0) }, all},
+		{"one is not heard", func() {
+			f.Fabric.Part([]int{0})
+			cut(0, 1)
+			cut(0, 2)
+			cut(0, 3)
+			cut(0, 4)
+			cut(0, 5)
+		}, []int{1, 2, 3, 4, 5}},
+		{"400 ms each way", func() { f.Fabric.All(Link{Delay: 400 * time.Millisecond}) }, all},
+		{"30 % lost, some twice and out of turn", func() { f.Fabric.All(Link{Loss: 0.3, Duplicate: 0.2, Jitter: 100 * time.Millisecond}) }, nil},
+	} {
+		c.fault()
+		if sum, _ := f.Parts(all...); sum > 1+1e-9 {
+			t.Errorf("%s: %v of the whole is taken", c.name, sum)
+		}
+		f.Fabric.Heal()
+		f.agree(t, true, all...)
+		c.fault()
+		if strings.HasPrefix(c.name, "30") { // who stands in it is chance; that is never too much
+			for range 20 {
+				if sum, _ := f.Parts(all...); sum > 1+1e-9 {
+					t.Errorf("%s: %v of the whole is taken", c.name, sum)
+				}
+			}
+		} else {
+			f.standing(t, c.standing...)
+		}
+		f.Fabric.Heal()
+		f.agree(t, true, all...)
+	}
+	stop()
+	load.Wait()
+	if v := judge(t, f); v.Served < 100 {
+		t.Errorf("%+v", v)
+	}
+}
+
+// TestComingAndGoing: seeds that start last, growth from one to six and back, a rolling restart, a process back before
+// anybody missed it, five back under their names at new addresses, a copy of a running one, all but one dead.
+func TestComingAndGoing(t *testing.T) {
+	t.Parallel()
+	f := start(t, FleetConfig{Members: 1, Room: 9, Nodes: 1, Servers: 4, Seed: 3})
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var load sync.WaitGroup
+	f.Members[0].Stream(ctx, &load, Traffic(40, time.Hour)...)
+	f.agree(t, true, 0)
+	five := []int{0, 1, 2, 3, 4}
+	for _, i := range five[1:] { // growth
+		must(f.Members[i].Start())
+	}
+	f.agree(t, true, five...)
+	for _, i := range five[1:] { // a rolling restart
+		f.Members[i].Leave()
+		must(f.Members[i].Start())
+		f.agree(t, true, five...)
+	}
+	// Back before anybody missed it: it never stops counting at the others.
+	moved := f.moves(t, "n4", 0, 1, 2, 3)
+	f.Members[4].Kill()
+	must(f.Members[4].Start())
+	f.agree(t, true, five...)
+	if now := f.moves(t, "n4", 0, 1, 2, 3); now != moved {
+		t.Errorf("its place moved %d times", now-moved)
+	}
+	// A copy of a running member, at another address: one of them counts, and operators are told.
+	f.Members[5].Name = "n4"
+	must(f.Members[5].Start())
+	if !Await(patience, func() bool {
+		s, err := f.Members[1].Status()
+		return err == nil && slices.ContainsFunc(s.Members, func(m fleet.MemberStatus) bool { return m.Name == "n4" && m.Twin != "" })
+	}) {
+		t.Error("two processes of one name are not told")
+	}
+	if r, err := f.Members[5].Role(); err != nil || r.Standing {
+		t.Errorf("the copy has a part: %+v, %v", r, err)
+	}
+	f.Members[5].Kill()
+	f.agree(t, true, five...)
+	// Four die and come back one after the other at new addresses.
+	for _, i := range five[1:] {
+		f.Members[i].Kill()
+		f.Members[i+5].Name = f.Members[i].Name
+		must(f.Members[i+5].Start())
+	}
+	f.agree(t, true, 0, 6, 7, 8, 9)
+	// All but one die. It goes on, and takes no part until operators say that the others are dead.
+	for _, i := range []int{6, 7, 8, 9} {
+		f.Members[i].Kill()
+	}
+	f.standing(t)
+	for _, i := range five[1:] {
+		resp, err := http.Post("http://"+f.Members[0].admin+"/fleet/forget?name="+f.Members[i].Name, "", nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatal(resp, err)
+		}
+		resp.Body.Close()
+	}
+	f.standing(t, 0)
+	stop()
+	load.Wait()
+	judge(t, f)
+}
+
+// TestSeedsLast: the members whose addresses all the others have are the last to start.
+func TestSeedsLast(t *testing.T) {
+	t.Parallel()
+	f := start(t, FleetConfig{Room: 5, Nodes: 5, Servers: 1, Seed: 4})
+	f.FleetConfig.Members = 2 // of whom the files tell
+	for _, i := range []int{4, 3, 2} {
+		if err := f.Members[i].Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.standing(t) // three of five, but nobody knows of another
+	for _, i := range []int{1, 0} {
+		if err := f.Members[i].Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.agree(t, true, 0, 1, 2, 3, 4)
+}
+
+// TestFlapping stops and resumes a member four times a second: nobody's place moves, nobody else is given up, and what
+// is sent for it stays small.
+func TestFlapping(t *testing.T) {
+	t.Parallel()
+	f := start(t, FleetConfig{Members: 4, Servers: 2, Seed: 5})
+	f.agree(t, true, 0, 1, 2, 3)
+	before := make([]int, 4)
+	for i, m := range f.Members {
+		before[i] = f.moves(t, m.Name, 0, 1, 2)
+	}
+	sent, began := f.Fabric.Bytes(0), time.Now()
+	for range 20 {
+		f.Members[3].Pause()
+		time.Sleep(125 * time.Millisecond)
+		f.Members[3].Resume()
+		time.Sleep(125 * time.Millisecond)
+	}
+	for i, m := range f.Members {
+		if now := f.moves(t, m.Name, 0, 1, 2); now != before[i] {
+			t.Errorf("the place of %s moved %d times", m.Name, now-before[i])
+		}
+	}
+	if rate := float64(f.Fabric.Bytes(0)-sent) / time.Since(began).Seconds(); rate > 50_000 {
+		t.Errorf("%.0f bytes a second are sent by one of four", rate)
+	}
+	f.agree(t, true, 0, 1, 2, 3)
+}
+
+// TestForged has strangers talk to members: noise, messages cut short, too long, played again, and members that are not
+// what they say. Nothing moves, memory stays, and the log says little.
+func TestForged(t *testing.T) {
+	t.Parallel()
+	key := []byte("0123456789abcdef")
+	f := start(t, FleetConfig{Members: 3, Servers: 1, Seed: 6, Key: base64.StdEncoding.EncodeToString(key)})
+	f.agree(t, true, 0, 1, 2)
+	_, before := f.Members[0].P.Resources()
+	to := f.Fabric.Own(0)
+	u, err := net.Dial("udp", to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer u.Close()
+	rng := rand.New(rand.NewPCG(6, 6))
+	for i := range 3000 {
+		b := make([]byte, 1+rng.IntN([]int{10, 100, 1400, 60_000}[i%4]))
+		for j := range b {
+			b[j] = byte(rng.Uint32())
+		}
+		if i%2 == 0 {
+			b[0] = byte(rng.IntN(15)) // kinds that there are
+		}
+		u.Write(b)
+		if i%50 == 0 {
+			if c, err := net.Dial("tcp", to); err == nil {
+				c.Write(b)
+				defer c.Close()
+			}
+		}
+	}
+	f.Fabric.All(Link{Duplicate: 1, Jitter: 500 * time.Millisecond}) // all is played twice, and in any order
+	time.Sleep(time.Second)
+	f.Fabric.Heal()
+	// Strangers that know the key, but are no members that can be counted.
+	for i, s := range []struct {
+		name string
+		meta []byte
+	}{
+		{strings.Repeat("n", 10_000), membership.Card{Name: "x", Protocol: 1}.Encode()}, {"noise", []byte("noise")}, {"other", membership.Card{Name: "n1", Protocol: 1}.Encode()},
+		{"bad name", membership.Card{Name: "bad name", Protocol: 1}.Encode()}, {"later", membership.Card{Name: "later", Protocol: 9, Run: 1, All: true}.Encode()},
+	} {
+		c := memberlist.DefaultLocalConfig()
+		c.Name, c.BindAddr, c.BindPort, c.AdvertiseAddr, c.Label, c.SecretKey, c.LogOutput = s.name, fmt.Sprintf("127.0.3.%d", i+1), 0, fmt.Sprintf("127.0.3.%d", i+1), "cranegrade", key, discard{}
+		c.Delegate = stranger(s.meta)
+		l, err := memberlist.Create(c)
+		if err != nil {
+			continue // the library itself turns it away
+		}
+		defer l.Shutdown()
+		l.Join([]string{f.Fabric.Seen(0), to})
+	}
+	// The last is of a later protocol: it takes no part, but may act, as far as anybody knows.
+	if !Await(patience, func() bool {
+		r, err := f.Members[0].Role()
+		return err == nil && r.Differ["later"] == "another protocol"
+	}) {
+		t.Error("a member of another protocol is not told")
+	}
+	for _, m := range f.Members {
+		s, err := m.Status()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r := s.Pools[0]; !slices.Equal(r.Order, []string{"n0", "n1", "n2"}) {
+			t.Errorf("%s counts %v", m.Name, r.Order)
+		}
+		if len(s.Members) > 4 {
+			t.Errorf("%s knows %d members", m.Name, len(s.Members))
+		}
+		if n := strings.Count(m.P.Tail(), "\n"); n > 40 {
+			t.Errorf("%s has said %d lines", m.Name, n)
+		}
+	}
+	if _, after := f.Members[0].P.Resources(); before > 0 && after > before+40_000 {
+		t.Errorf("%d kB resident, %d before", after, before)
+	}
+}
+
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// stranger tells only its card.
+type stranger []byte
+
+func (s stranger) NodeMeta(int) []byte           { return s }
+func (stranger) NotifyMsg([]byte)                {}
+func (stranger) GetBroadcasts(int, int) [][]byte { return nil }
+func (stranger) LocalState(bool) []byte          { return nil }
+func (stranger) MergeRemoteState([]byte, bool)   {}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -28,6 +28,7 @@
 	Seed    uint64
 	Lease   time.Duration // 0: 1.2 s, so that short drills see the ends of leases
 	Slack   time.Duration // see audit.Options
+	Key     string        // of the gossip, in base64; "": none
 	Alone   bool          // no [fleet]: count and place stand in the files, as they did
 	Top     string        // more for the top of each file
 	Pool    string        // more for the pool
@@ -154,7 +155,11 @@
 		for i := range min(3, f.FleetConfig.Members) {
 			join = append(join, fmt.Sprintf("%q", f.Fabric.Seen(i)))
 		}
-		fmt.Fprintf(&b, "[fleet]\nlisten = %q\nadvertise = %q\njoin = [%s]\nlease = %q\nsettle = \"500ms\"\nprobe = \"200ms\"\n",
+		fmt.Fprintf(&b, "[fleet]\n")
+		if f.Key != "" {
+			fmt.Fprintf(&b, "key = %q\n", f.Key)
+		}
+		fmt.Fprintf(&b, "listen = %q\nadvertise = %q\njoin = [%s]\nlease = %q\nsettle = \"500ms\"\nprobe = \"200ms\"\n",
 			f.Fabric.Own(m.I), f.Fabric.Seen(m.I), strings.Join(join, ", "), f.Lease)
 	}
 	b.WriteString(PoolText("app", fmt.Sprintf("registry = %q", f.Registry.Addr()), f.Pool))
@@ -285,11 +290,7 @@
 // Agree waits until the members of these numbers count exactly each other, each with a part of its own, and says how
 // long that took; parts false: whether they have parts is left open.
 func (f *Fleet) Agree(limit time.Duration, parts bool, members ...int) (took time.Duration, err error) {
-	var want []string
-	for _, i := range members {
-		want = append(want, f.Members[i].Name)
-	}
-	slices.Sort(want)
+	want := f.names(members)
 	began := time.Now()
 	last := ""
 	if Await(limit, func() bool {
@@ -311,6 +312,14 @@
 	return 0, fmt.Errorf("%v do not agree within %v: %s", want, limit, last)
 }
 
+func (f *Fleet) names(members []int) (l []string) {
+	for _, i := range members {
+		l = append(l, f.Members[i].Name)
+	}
+	slices.Sort(l)
+	return l
+}
+
 // Parts is the sum of the parts that these members hold to be theirs, and how many have one. Each is asked after the
 // other, so a sum over 1 may be one that never was at one moment, but not where nothing changes.
 func (f *Fleet) Parts(members ...int) (sum float64, n int) {
