--- a/cmd/drill/drill_test.go
+++ b/cmd/drill/drill_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -44,7 +45,7 @@
 func TestDrills(t *testing.T) {
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
-			if strings.HasPrefix(s.name, "extproc") {
+			if strings.HasPrefix(s.name, "extproc") || slices.Contains(fleetDrills, s.name) {
 				t.Parallel() // so many, and mostly waiting
 			}
 			got, code := drill(t, "-for", "2s", s.name)
@@ -56,7 +57,7 @@
 					t.Errorf("no figure %s in %v", key, got)
 				}
 			}
-			if key := map[string]string{"load": "requests_per_s", "xds-size": "changes"}[s.name]; key != "" {
+			if key := map[string]string{"load": "requests_per_s", "xds-size": "changes", "fleet": "drills", "fleet-size": "fleets"}[s.name]; key != "" {
 				if got[key].(float64) <= 0 {
 					t.Errorf("%v", got)
 				}
@@ -98,6 +99,20 @@
 	}
 }
 
+// A fleet whose rations follow what is seen at once, and one whose stopped process goes by what it stood on, are found
+// to take more than the whole.
+func TestPlantsOfMembers(t *testing.T) {
+	for _, plant := range []string{"seen", "stalled"} {
+		t.Run(plant, func(t *testing.T) {
+			t.Parallel()
+			got, code := drill(t, "-plant", plant, "members")
+			if over, _ := got["over"].(float64); code != 1 || over == 0 {
+				t.Errorf("exit %d, %v", code, got)
+			}
+		})
+	}
+}
+
 func TestUsage(t *testing.T) {
 	for _, args := range [][]string{{}, {"nothing"}, {"-plant", "weeds", "tour"}, {"-colour", "tour"}, {"tour", "pools"}} {
 		var stdout, stderr bytes.Buffer
--- /dev/null
+++ b/cmd/drill/fleetsize.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"hollyspur/internal/fleet/model"
+)
+
+// fleetSize measures views of fleets that no machine holds, in simulated time: how soon deaths are right everywhere, and
+// how often the living are given up.
+func fleetSize(ctx context.Context, r *rig) error {
+	r.unjudged = true
+	long := 10 * time.Minute
+	if r.length < 5*time.Second {
+		long = time.Minute // a short form
+	}
+	var b strings.Builder
+	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "members\tloss\ta tenth dies: right everywhere\tliving given up an hour\tplaces of the living moved an hour\trumours a member and second")
+	fleets := 0
+	for _, n := range []int{5, 50, 300} {
+		for _, loss := range []float64{0, 0.05, 0.3} {
+			if n == 300 && (loss > 0.1 || r.length < 5*time.Second) || n == 50 && loss > 0.1 && r.length < 5*time.Second {
+				continue // at 300 and 30 % the gossip is all rumours and refusals: docs/findings/fleet-faults.md
+			}
+			fleets++
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			c := model.Config{Members: n, Loss: loss, Probe: 300 * time.Millisecond, Settle: time.Second, Seed: r.seed, Deaths: max(1, n/10), For: time.Minute}
+			var worst time.Duration
+			for seed := range uint64(3) {
+				c.Seed = r.seed + seed
+				x := model.Play(c)
+				if worst = max(worst, x.Right); x.Right == 0 {
+					r.failf("%d members at a loss of %v were not right within a minute", n, loss)
+				}
+			}
+			c.Deaths, c.For = 0, long
+			if n > 5 {
+				c.For = long / time.Duration(n/5)
+			}
+			x := model.Play(c)
+			hours := c.For.Hours()
+			fmt.Fprintf(t, "%d\t%.0f %%\t%.2f s\t%.0f\t%.0f\t%.2f\n", n, 100*loss, worst.Seconds(), float64(x.Accused)/hours, float64(x.Moved)/hours,
+				float64(x.Rumours)/c.For.Seconds()/float64(n))
+		}
+	}
+	t.Flush()
+	r.figure("fleets", fleets, "that were played")
+	r.tables = append(r.tables, b.String())
+	return nil
+}
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -59,9 +59,16 @@
 	{"grpc-chaos", "the same, and servers break one answer in ten: midway, without a status, in false lengths", 8 * time.Second, grpcDrill(0.1)},
 	{"zones", "three zones: home turns slow, fails whole and comes back cold; a budget; the account against the servers' records", 12 * time.Second, zonesDrill},
 	{"operators", "an operators' day: servers taken out and restarted, clients sent away, upgrades, a long answer over one of them", 12 * time.Second, operators},
+	{"members", "five processes under load: deaths, stops, cut, one-way, slow and lossy links drawn from the seed; no moment with more than the whole", 20 * time.Second, members},
+	{"deaths", "two of five processes die: what the servers get after it, with and without a view of the fleet", 8 * time.Second, deaths},
+	{"fleet-size", "views of 5, 50 and 300 members in simulated time: how soon deaths are right everywhere, how often the living are accused", 10 * time.Second, fleetSize},
 	{"load", "requests a second, times and CPU of the node on one core; with -vs against another program, in pairs", 20 * time.Second, load},
 }
 
+func init() {
+	scenarios = append(scenarios, scenario{"fleet", "lists the drills of several processes", time.Second, fleetList}) // it reads the list
+}
+
 // options are the command line's.
 type options struct {
 	json    bool
@@ -138,14 +145,14 @@
 		return 1
 	}
 	v := audit.Judge(r.rec.View(), audit.Options{Slack: o.slack})
-	if r.node.Crashed() {
+	if r.node != nil && r.node.Crashed() {
 		r.failf("the program ended by itself")
 	}
 	report(stdout, o, s.name, v, r)
-	if o.verbose {
+	if o.verbose && r.node != nil {
 		fmt.Fprintln(stderr, r.node.Tail())
 	}
-	if o.stay && !o.json {
+	if o.stay && !o.json && r.node != nil {
 		r.stay(ctx, stdout)
 	}
 	if !v.Clean() || len(r.failures) > 0 {
@@ -161,6 +168,9 @@
 		object := map[string]any{}
 		json.Unmarshal(text, &object)
 		object["drill"], object["seed"] = name, o.seed
+		if r.schedule != "" {
+			object["schedule"] = json.RawMessage(r.schedule)
+		}
 		for _, f := range r.figures {
 			object[f.name] = f.value
 		}
--- /dev/null
+++ b/cmd/drill/members.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	rigs "hollyspur/internal/rig"
+)
+
+// fleetDrills are those that need several processes.
+var fleetDrills = []string{"members", "deaths", "fleet-size"}
+
+// fleetList lists them.
+func fleetList(_ context.Context, r *rig) error {
+	r.unjudged = true
+	r.figure("drills", len(fleetDrills), "")
+	for _, s := range scenarios {
+		for _, name := range fleetDrills {
+			if s.name == name {
+				r.tables = append(r.tables, fmt.Sprintf("%-12s %s\n", s.name, s.about))
+			}
+		}
+	}
+	return nil
+}
+
+// planted are the breaches that are built into the program.
+var planted = map[string]string{"seen": "plant_seen", "stalled": "plant_stalled"}
+
+// plantedInProgram is what drills without a fleet do with such a breach.
+func plantedInProgram(context.Context, *rig) error {
+	return errors.New("this breach is one of fleets: it is found by drill members")
+}
+
+// fleetOf starts a fleet as the drill's options say.
+func (r *rig) fleetOf(c rigs.FleetConfig) (*rigs.Fleet, error) {
+	c.Program, c.Seed, c.Slack = r.program, r.seed, r.slack
+	if tag := planted[r.plant]; tag != "" {
+		var err error
+		if c.Program, err = rigs.Build(r.dir, tag); err != nil {
+			return nil, err
+		}
+	}
+	f, err := rigs.NewFleet(c)
+	if err != nil {
+		return nil, err
+	}
+	r.fleet, r.rec = f, f.Rec
+	if err := f.StartAll(c.Members); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// memberCount is how many processes the drills of fleets start.
+const memberCount = 5
+
+func everyone(n int) (l []int) {
+	for i := range n {
+		l = append(l, i)
+	}
+	return l
+}
+
+// members plays a schedule of faults on five processes under load, while servers are replaced, and holds what they
+// may take together against the whole all the time.
+func members(ctx context.Context, r *rig) error {
+	f, err := r.fleetOf(rigs.FleetConfig{Members: memberCount, Servers: 20})
+	if err != nil {
+		return err
+	}
+	limit := 20*time.Second + 10*r.slack
+	if _, err := f.Agree(limit, true, everyone(memberCount)...); err != nil {
+		return err
+	}
+	length := max(r.length, 8*time.Second)
+	schedule := rigs.Draw(r.seed, memberCount, len(f.Servers), length)
+	if r.plant != "" { // what shows it: two halves, and one that stands still
+		schedule = rigs.Schedule{{At: 0, What: rigs.CutParts, Parts: [][]int{{0, 1}, {2, 3, 4}}, For: 5 * time.Second},
+			{At: 8 * time.Second, What: rigs.StopMembers, Members: []int{3}, For: 4 * time.Second}}
+		length = 14 * time.Second
+	}
+	watching, stop := context.WithCancel(ctx)
+	var w *rigs.Watch
+	var load, watch sync.WaitGroup
+	watch.Go(func() { w = f.Watch(watching, 25*time.Millisecond) })
+	for _, m := range f.Members {
+		m.Stream(watching, &load, rigs.Traffic(60, length)...)
+	}
+	sent := f.Fabric.Bytes(0)
+	err = f.Play(ctx, schedule, func(s string) {
+		if r.verbose {
+			fmt.Fprintln(r.err, s)
+		}
+	})
+	load.Wait()
+	bytes := f.Fabric.Bytes(0) - sent
+	if err != nil {
+		stop()
+		return err
+	}
+	healed, err := f.Agree(limit, true, everyone(memberCount)...)
+	stop()
+	watch.Wait()
+	if err != nil {
+		r.failf("after all is undone: %v", err)
+	}
+	r.figure("faults", len(schedule), "of the schedule")
+	r.figure("samples", w.Samples, "of what all members hold to be theirs of a ration")
+	r.figure("most_held", w.Most, "of the whole, by all together at one moment")
+	r.figure("over", w.Over, "moments at which that was more than the whole")
+	r.figure("whole_again_ms", healed, "from the end of the last fault until all count each other and have their parts")
+	r.figure("bytes_per_s", float64(bytes)/length.Seconds(), "that a member sends to others")
+	if w.Over > 0 {
+		r.failf("more than the whole was taken: %s", w.Detail)
+	}
+	if w.Samples < 10 || w.Most <= 0.5 {
+		r.failf("%d samples, the most %v: nothing was watched", w.Samples, w.Most)
+	}
+	r.schedule = schedule.String()
+	return nil
+}
+
+// deaths kills two of five and measures what the servers get after that, with the members' view and as it was without.
+func deaths(ctx context.Context, r *rig) error {
+	length := max(r.length, 6*time.Second)
+	for _, alone := range []bool{true, false} {
+		if r.fleet != nil {
+			r.fleet.Close()
+		}
+		f, err := r.fleetOf(rigs.FleetConfig{Members: memberCount, Servers: 20, Alone: alone})
+		if err != nil {
+			return err
+		}
+		name := map[bool]string{true: "before", false: "fleet"}[alone]
+		if !alone {
+			if _, err := f.Agree(20*time.Second+10*r.slack, true, everyone(memberCount)...); err != nil {
+				return err
+			}
+		}
+		var load sync.WaitGroup
+		for _, m := range f.Members {
+			m.Stream(ctx, &load, rigs.Traffic(200, 2*length)...)
+		}
+		begin := f.Rec.Now()
+		time.Sleep(length / 2)
+		died := f.Rec.Now()
+		least, most := f.Load(begin, died)
+		r.figure(name+"_alive_least", least, "requests of the server that got least, of the mean")
+		r.figure(name+"_alive_most", most, "and of the one that got most")
+		f.Members[1].Kill()
+		f.Members[3].Kill()
+		if !alone {
+			took, err := f.Agree(20*time.Second+10*r.slack, false, 0, 2, 4)
+			if err != nil {
+				return err
+			}
+			r.figure("agreed_ms", took, "from the deaths until the others count each other and nobody else")
+			if took, err = f.Agree(20*time.Second+10*r.slack, true, 0, 2, 4); err != nil {
+				return err
+			}
+			r.figure("parts_ms", f.Rec.Now()-died, "and until they have taken over what the dead might have taken")
+		}
+		load.Wait()
+		least, most = f.Load(died+6*time.Second, died+2*length)
+		if math.IsNaN(least) || least > 1e8 {
+			least, most = f.Load(died, f.Rec.Now())
+		}
+		r.figure(name+"_after_least", least, "the same from six seconds after two of five have died")
+		r.figure(name+"_after_most", most, "")
+	}
+	return nil
+}
--- a/cmd/drill/rig.go
+++ b/cmd/drill/rig.go
@@ -24,7 +24,8 @@
 	keys    *standin.Keys
 	dir     string
 	err     io.Writer
-	node    *rigs.Process
+	node    *rigs.Process // nil: there are several, in fleet
+	fleet   *rigs.Fleet   // nil: there is one
 	groups  []*group
 	relay   *standin.Relay
 	callers *standin.Callers
@@ -39,6 +40,8 @@
 	calls   int             // operators' calls
 	gaveWay []time.Duration // how long a process that was succeeded took to end
 
+	schedule string // of faults, which can be played again
+
 	unjudged bool // it measures, and its traffic is not recorded
 	figures  []figure
 	tables   []string
@@ -90,6 +93,9 @@
 	if r.callers != nil {
 		r.callers.Close()
 	}
+	if r.fleet != nil {
+		r.fleet.Close()
+	}
 	for _, p := range r.asking {
 		p.Close()
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -224,6 +224,9 @@
 		}
 	}
 	r.Divisor = max(1, share.Divisor-others)
+	if plantSeen {
+		r.Divisor, r.Until = max(1, r.Seen), math.MaxInt64
+	}
 	return r
 }
 
@@ -429,7 +432,7 @@
 // Role is the latest, and the part that may be taken by it at that time: +Inf if what it stands on is too old.
 func (g *Gate) Role(now time.Duration) (*Role, float64) {
 	r := g.role.Load()
-	if !r.Standing(now) {
+	if !r.Standing(now) && !(plantStalled && r.Until > 0) {
 		return r, math.Inf(1)
 	}
 	return r, float64(r.Divisor)
--- a/internal/fleet/module.go
+++ b/internal/fleet/module.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"math"
 	"time"
 
 	"hollyspur"
@@ -57,11 +56,3 @@
 		l.Learn(k)
 	}
 }
-
-// Divided is what this node would take of a ration if it were divided now.
-func (r *Role) Divided(now time.Duration, whole float64) float64 {
-	if !r.Standing(now) {
-		return 0
-	}
-	return whole / math.Max(1, float64(r.Divisor))
-}
--- /dev/null
+++ b/internal/fleet/plant_none.go
@@ -0,0 +1,9 @@
+//go:build !plant_seen && !plant_stalled
+
+package fleet
+
+// Breaches that drills plant to see that they are found; none here.
+const (
+	plantSeen    = false // rations are divided by what is seen at once
+	plantStalled = false // a part is taken however old what it stands on
+)
--- /dev/null
+++ b/internal/fleet/plant_seen.go
@@ -0,0 +1,8 @@
+//go:build plant_seen
+
+package fleet
+
+const (
+	plantSeen    = true
+	plantStalled = false
+)
--- /dev/null
+++ b/internal/fleet/plant_stalled.go
@@ -0,0 +1,8 @@
+//go:build plant_stalled && !plant_seen
+
+package fleet
+
+const (
+	plantSeen    = false
+	plantStalled = true
+)
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -89,7 +90,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := BootTime()
-	share := f.roll.Share(now)
 	s := Status{Name: f.cfg.Name, Run: fmt.Sprintf("%x", f.run), At: time.Now(), Open: l != nil, LeaseMS: millis(f.cfg.Lease), Nodes: f.cfg.Nodes,
 		Roll: fmt.Sprintf("%016x", f.roll.Hash()), Health: health, Sent: f.sent.Load(), Got: f.received.Load(), Bad: f.bad}
 	members := map[string]*MemberStatus{}
@@ -122,11 +122,13 @@
 	}
 	slices.SortFunc(s.Members, func(a, b MemberStatus) int { return strings.Compare(a.Name, b.Name) })
 	for id, name := range f.pools {
-		r := f.role(now, id, share)
-		p := PoolStatus{Pool: name, Index: r.Index, Seen: r.Seen, Agreed: r.Agreed, Divisor: r.Divisor, Standing: r.Standing(now), Granted: share.Granted,
-			Wanted: share.Wanted, Of100: r.Divided(now, 100), Why: share.Why, Order: r.Order}
+		r, part := f.gates[id].Role(now) // what the pool's module goes by
+		p := PoolStatus{Pool: name, Index: r.Index, Seen: r.Seen, Agreed: r.Agreed, Divisor: r.Divisor, Standing: !math.IsInf(part, 1), Granted: r.Granted,
+			Wanted: r.Wanted, Of100: 100 / part, Why: r.Why, Order: r.Order}
 		if p.Standing {
-			p.UntilMS = millis(min(share.Until-now, 1000*time.Hour))
+			p.UntilMS = millis(min(r.Until-now, 1000*time.Hour))
+		} else if p.Why == "" {
+			p.Why = "what it stood on is too old"
 		}
 		for _, m := range all {
 			if fit := f.view.Fits(&m, id); fit != membership.Same && m.State == membership.Alive {
