Nodes of a fleet share servers out by name, tell each other which fail, and try those by turn

Change: the module in front of each pool's shares the listed servers out by subset.Choose, moves to another set an eighth at a time, notes how calls end, tells a digest of 256 bytes at most (to those who draw from the same servers at once, to all by the gossip), and puts servers aside on others' words until its turn to try comes. Cause of a hole found by TestComingAndGoing: a node with nodes = 1 founded a fleet of its own in the first moments of each start; it waits a lease now. A set of all servers was taken for none, and shrank to none.

--- a/beliefs.go
+++ b/beliefs.go
@@ -62,7 +62,7 @@
 	}
 	for _, s := range b.servers {
 		w := ServerBeliefs{ID: s.ID, State: stateNames[s.State], Calls: s.calls, Slow: s.slow, Level: s.level,
-			Out: b.now < s.until || b.silent(s), Room: -1, Warmth: b.warmth(s)}
+			Out: b.away(s), Room: -1, Warmth: b.warmth(s)}
 		if b.now < s.full {
 			w.Room = s.room
 		}
--- a/subset.go
+++ b/fleet.go
@@ -1,6 +1,9 @@
 package hollyspur
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	subsetLeast = 4   // servers that a copy draws from at the least
@@ -11,6 +14,17 @@
 // zero, a sick server is met once a minute, and connections fill its table.
 func (b *Balancer) takeSubset() []*server {
 	n := len(b.ready)
+	if b.chosen != nil {
+		var l []*server
+		for _, s := range b.ready {
+			if b.chosen[s.ID] {
+				l = append(l, s)
+			}
+		}
+		if len(l) >= min(n, subsetLeast) {
+			return l
+		}
+	}
 	size := max(subsetLeast, int(math.Ceil(subsetShare*b.fairServers())))
 	if size >= n || b.set.Balancers <= 1 {
 		return b.ready
@@ -22,6 +36,42 @@
 	return l
 }
 
+// takeFleet goes over to another place among the copies. What was learned stays; rations follow the divisor.
+func (b *Balancer) takeFleet(e Fleet) {
+	before := b.fairServers()
+	b.set.Balancers, b.set.Index, b.divisor = max(1, e.Balancers), e.Index, e.Divisor
+	if b.chosen = nil; e.Subset != nil {
+		b.chosen = make(map[string]bool, len(e.Subset))
+		for _, id := range e.Subset {
+			b.chosen[id] = true
+		}
+	}
+	for name, q := range b.quotas {
+		part := 1 / b.divisor
+		if p, is := e.Quotas[name]; is && p >= 0 && p <= 1 {
+			part = p
+		}
+		q.fill(b.now)
+		q.divide(1 / part)
+	}
+	b.resize(before, b.fairServers())
+	b.release()
+}
+
+// takeHearsay puts servers aside. How many are kept out in all is bounded as for those this copy ejects.
+func (b *Balancer) takeHearsay(e Hearsay) {
+	for _, a := range e.Aside {
+		s := b.servers[a.ID]
+		if s == nil || s.Boot != a.Boot || a.Until > b.now+time.Minute {
+			continue
+		}
+		if s.aside = a.Until; a.Until > b.now && s.level == 0 {
+			s.level, s.goods = 1, 0
+		}
+	}
+	b.usableAt = -1
+}
+
 // Stripes names size of n servers in the shared order for one of so many copies, evenly from along that order, so
 // that all servers are drawn from by equally many copies. size is at most n.
 func Stripes(n, size, copies, index int) []int {
--- a/hollyspur.go
+++ b/hollyspur.go
@@ -201,6 +201,19 @@
 	Fleet struct {
 		Balancers, Index int
 		Divisor          float64
+		// Subset names the servers that first attempts are drawn from; nil: they are cut from the shared order by number.
+		Subset []string
+		// Quotas are this copy's parts of tenants' quotas, 0 to 1, in place of 1/Divisor where they name one.
+		Quotas map[string]float64
+	}
+	// Hearsay tells what other copies have seen of servers. One that is named is put aside until then as if it were
+	// ejected, and comes back by one safe trial, for nothing of it was seen by this copy.
+	Hearsay struct{ Aside []Aside }
+	// Aside is a server that others have good reason not to use.
+	Aside struct {
+		ID    string
+		Boot  time.Duration // its start that this is said of
+		Until time.Duration // clock time
 	}
 	// ListFailed says that a Subscribe failed or that the subscription broke. Garbled: discovery is there and
 	// answered, but what it said can't be read, or broke off.
@@ -249,6 +262,7 @@
 
 func (ServerList) event() {}
 func (Fleet) event()      {}
+func (Hearsay) event()    {}
 func (ListFailed) event() {}
 func (Request) event()    {}
 func (Outcome) event()    {}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -106,6 +106,7 @@
 	Wire    time.Duration                  // one way between a node and a server
 	Decider func(tier, index int, set hollyspur.Settings) Decider
 	At      []Change
+	Begin   func(*World) // called before anything else, for deciders that need the world; nil: nothing is
 	// Discovery tells the first tier's nodes of its servers; nil: they know of every change at once.
 	Discovery *Discovery
 }
@@ -154,6 +155,9 @@
 	for _, c := range p.Classes {
 		w.Classes[c.Key()] = &Tally{}
 	}
+	if p.Begin != nil {
+		p.Begin(w)
+	}
 	for i, t := range p.Tiers {
 		var l []*Server
 		for n := range t.Servers {
@@ -262,6 +266,12 @@
 
 func (w *World) after(d time.Duration, do func()) { w.at(w.now+d, do) }
 
+// After does something when a time has passed; nothing new begins when the last arrival has been.
+func (w *World) After(d time.Duration, do func()) { w.after(d, do) }
+
+// Ended says that the last arrival has been.
+func (w *World) Ended() bool { return w.now > w.plan.Length }
+
 // arrive draws the next arrival: a Poisson stream of the highest rate, thinned.
 func (w *World) arrive() {
 	t := w.now + time.Duration(w.rng.ExpFloat64()/w.plan.Most*float64(time.Second))
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -19,6 +19,8 @@
 
 	Speed     float64       // times the nominal
 	Errors    float64       // share of requests answered with an error at once
+	Arrived   int           // attempts that reached it
+	Erred     int           // and of these, those answered with an error
 	Refuses   bool          // turns everything away at once
 	Boot      time.Duration // of its last start; 0: long ago
 	state     hollyspur.ServerState
@@ -78,8 +80,10 @@
 
 // arrive takes a request or turns it away.
 func (s *Server) arrive(a *attempt, deadline time.Duration) {
+	s.Arrived++
 	if s.Errors > 0 && s.w.rng.Float64() < s.Errors {
 		a.running = true
+		s.Erred++
 		s.reply(a, hollyspur.Failure)
 		return
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,25 +49,28 @@
 	stop chan struct{}
 	done sync.WaitGroup
 
-	sent, received atomic.Int64 // bytes of beats and rolls, without the gossip's own
-
-	mu      sync.Mutex // guards what follows; never held over a call of the gossip, which calls back under its own lock
-	list    *memberlist.Memberlist
-	view    *membership.View
-	roll    *membership.Roll
-	nodes   map[string]memberlist.Node // as last heard of, also those that have failed
-	gates   map[uint32]*Gate
-	pools   map[uint32]string
-	told    map[string]time.Duration // when a member was last told the whole roll
-	leaving bool
-	stalls  []Stall
-	bad     int // messages that could not be read
-	lateAt  time.Duration
-	dialing bool
-	retry   time.Duration
-	retryAt time.Duration
-	closed  bool
-	tries   int // to reach who is lost, in vain
+	sent, received atomic.Int64                     // bytes of beats, rolls and digests, without the gossip's own
+	news           *memberlist.TransmitLimitedQueue // digests on their way to all
+	known          atomic.Int64                     // members
+
+	mu       sync.Mutex // guards what follows; never held over a call of the gossip, which calls back under its own lock
+	list     *memberlist.Memberlist
+	view     *membership.View
+	roll     *membership.Roll
+	nodes    map[string]memberlist.Node // as last heard of, also those that have failed
+	gates    map[uint32]*Gate
+	pools    map[uint32]string
+	told     map[string]time.Duration // when a member was last told the whole roll
+	leaving  bool
+	stalls   []Stall
+	bad      int // messages that could not be read
+	lateAt   time.Duration
+	dialing  bool
+	retry    time.Duration
+	retryAt  time.Duration
+	closed   bool
+	lastWord map[string]word // that a member told of a pool, without what it said
+	tries    int             // to reach who is lost, in vain
 }
 
 // Stall is a time in which this process did not run.
@@ -87,7 +90,8 @@
 	}
 	now := BootTime()
 	f := &Fleet{cfg: cfg, run: rand.Uint64(), poke: make(chan struct{}, 1), stop: make(chan struct{}), nodes: map[string]memberlist.Node{},
-		gates: map[uint32]*Gate{}, pools: map[uint32]string{}, told: map[string]time.Duration{}, lateAt: now}
+		gates: map[uint32]*Gate{}, pools: map[uint32]string{}, told: map[string]time.Duration{}, lastWord: map[string]word{}, lateAt: now}
+	f.news = &memberlist.TransmitLimitedQueue{RetransmitMult: 2, NumNodes: func() int { return int(f.known.Load()) + 1 }}
 	f.view = membership.NewView(now, f.card(), membership.Settle{After: cfg.Settle, Calm: calm})
 	f.roll = membership.NewRoll(now, cfg.Name, f.run, f.lease())
 	if err := f.open(); err != nil {
@@ -336,7 +340,8 @@
 	g := f.gates[id]
 	if g == nil {
 		now := BootTime()
-		g = &Gate{}
+		g = &Gate{pool: id, tell: f.say}
+		g.heard.Store(&Hearsay{})
 		f.gates[id], f.pools[id] = g, name
 		g.role.Store(f.role(now, id, f.roll.Share(now)))
 	}
@@ -417,23 +422,3 @@
 	}
 	f.done.Wait()
 }
-
-// Gate is where a pool's role stands. It is read at each decision.
-type Gate struct{ role atomic.Pointer[Role] }
-
-// Role is what this node is in a pool.
-type Role struct {
-	membership.Place
-	membership.Share
-	Divisor int // by which the pool's rations are divided
-	At      time.Duration
-}
-
-// Role is the latest, and the part that may be taken by it at that time: +Inf if what it stands on is too old.
-func (g *Gate) Role(now time.Duration) (*Role, float64) {
-	r := g.role.Load()
-	if !r.Standing(now) && !(plantStalled && r.Until > 0) {
-		return r, math.Inf(1)
-	}
-	return r, float64(r.Divisor)
-}
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -30,6 +30,8 @@
 const (
 	beatMessage = 1
 	rollMessage = 2
+	// of what a member has seen of servers, in its own name
+	signalMessage = 3
 )
 
 // tellEvery bounds how often a member is told the whole roll.
@@ -62,6 +64,7 @@
 		if len(f.nodes) < membership.MaxMembers || f.nodes[c.Name].Name != "" {
 			f.nodes[c.Name] = memberlist.Node{Name: n.Name, Addr: n.Addr, Port: n.Port}
 			f.roll.Join(now, c.Name)
+			f.known.Store(int64(len(f.nodes)))
 		}
 	}
 	f.mu.Unlock()
@@ -115,6 +118,8 @@
 		f.heard(x)
 	case rollMessage:
 		d.MergeRemoteState(b[1:], false)
+	case signalMessage:
+		f.toldOf(b)
 	default: // of a later version
 	}
 }
@@ -147,7 +152,9 @@
 	}
 }
 
-func (d delegate) GetBroadcasts(int, int) [][]byte { return nil }
+func (d delegate) GetBroadcasts(overhead, limit int) [][]byte {
+	return d.f.news.GetBroadcasts(overhead, limit)
+}
 
 func (d delegate) LocalState(bool) []byte {
 	d.f.mu.Lock()
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -16,9 +16,9 @@
 	return membership.SortServices(l)
 }
 
-// Module puts a gate before a pool's module.
-func (f *Fleet) Module(pool string, in engine.Module) engine.Module {
-	return NewModule(in, f.Gate(pool), BootTime)
+// Module puts a gate before a pool's module; sized says that the pool's list tells sizes.
+func (f *Fleet) Module(pool string, sized bool, in engine.Module) engine.Module {
+	return NewModule(in, f.Gate(pool), f.cfg.Name, sized, BootTime)
 }
 
 // Serve tells the others which pools this node has from now on.
--- a/internal/fleet/membership/roll.go
+++ b/internal/fleet/membership/roll.go
@@ -430,6 +430,9 @@
 			admitted, unheard = false, s.Name
 		}
 	}
+	if founding && r.last-r.started < r.lease.For && (len(councils[0]) < r.lease.Nodes || r.lease.Nodes == 1) {
+		sh.Until = 0 // whoever is there already has not had the time to answer
+	}
 	sh.Wanted = (len(councils[0])+r.missing(len(councils[0])))/2 + 1
 	sh.Divisor = len(sh.Count)
 	if r.last-r.started < r.lease.silence() { // those who have not come yet may act as far as this node can know
@@ -441,6 +444,8 @@
 		if sh.Until == 0 {
 			sh.Why = "no majority grants it anything"
 		}
+	case sh.Until == 0 && founding:
+		sh.Why = "it has met too few, or for too short a time, to found a fleet"
 	case sh.Until == 0:
 		sh.Why = "no majority grants it anything"
 	case !admitted:
--- a/internal/fleet/module.go
+++ b/internal/fleet/module.go
@@ -1,9 +1,16 @@
 package fleet
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"hollyspur"
+	"hollyspur/internal/fleet/membership"
+	"hollyspur/internal/fleet/signal"
+	"hollyspur/internal/fleet/subset"
+	"hollyspur/internal/fleet/turns"
 )
 
 // Decider is a decision module; engine.Module is the same.
@@ -11,30 +18,245 @@
 	Handle(now time.Duration, e hollyspur.Event) []hollyspur.Action
 }
 
-// Module stands between an engine and its module, and tells that its place among the nodes and its part of rations
-// before each event whenever they have changed. A process that was stopped finds its part gone, for the grants that it
-// stands on have run out meanwhile, before it decides anything else. Like its module it belongs to one goroutine.
+// Module stands between an engine and its module and tells that, before each event, what has changed among the nodes:
+// its place, its part of rations, the servers that it draws from, and what others have seen of servers. A process that
+// was stopped finds its part gone, for the grants that it stands on have run out meanwhile, before it decides anything
+// else. Of what passes it notes how calls end, for the others. Like its module it belongs to one goroutine.
 type Module struct {
-	in   Decider
-	gate *Gate
-	now  func() time.Duration
-	told hollyspur.Fleet
+	in    Decider
+	gate  *Gate
+	now   func() time.Duration
+	sized bool // the list tells sizes, which the shared order goes by
+	me    uint64
+
+	listed map[string]hollyspur.Server
+	boots  map[string]time.Duration // of the ready ones
+	change bool                     // of the list, since it was last shared out
+	order  []string                 // of members, that it was shared out to
+	plan   chan plan                // of a sharing that is under way; nil: none is
+	owners map[string][]uint64      // of each server: members that draw from it, as of the last sharing
+	mover  *subset.Mover
+	book   *signal.Book
+	beside []string // members that draw from any server that this one does
+
+	part   float64
+	place  [2]int
+	set    []string
+	aside  []hollyspur.Aside
+	looked time.Duration
+	spoke  time.Duration
+	urgent bool // a call has ended badly since
+}
+
+// plan is how servers are shared out.
+type plan struct {
+	mine   []string // sorted; nil: there is nobody to share with
+	owners map[string][]uint64
+	beside []string
 }
 
+// Times of the module's looks.
+const (
+	lookEvery  = 20 * time.Millisecond
+	speakEvery = 250 * time.Millisecond // what a member says changes no more often
+	moveEvery  = 200 * time.Millisecond
+	// atOnce is how many pairs of members and servers are shared out on the engine's goroutine.
+	atOnce = 20_000
+)
+
 // NewModule returns a module that goes by a gate; now tells the time that the gate goes by.
-func NewModule(in Decider, g *Gate, now func() time.Duration) *Module {
-	return &Module{in: in, gate: g, now: now}
+func NewModule(in Decider, g *Gate, me string, sized bool, now func() time.Duration) *Module {
+	id := membership.NameID(me)
+	return &Module{in: in, gate: g, now: now, sized: sized, me: id, listed: map[string]hollyspur.Server{}, boots: map[string]time.Duration{},
+		mover: subset.NewMover(moveEvery), book: signal.NewBook(g.pool, id), looked: math.MinInt64}
+}
+
+// Handle passes an event on, after what has changed.
+func (m *Module) Handle(now time.Duration, e hollyspur.Event) (actions []hollyspur.Action) {
+	at := m.now()
+	switch x := e.(type) {
+	case hollyspur.ServerList:
+		m.list(x)
+	case hollyspur.Outcome:
+		bad := x.Ending == hollyspur.Failure || x.Ending == hollyspur.TimedOut || x.Ending == hollyspur.Unreachable || x.Ending == hollyspur.Broken
+		m.urgent = m.urgent || bad
+		m.book.Ended(at, x.Server, bad, bad || x.Ending == hollyspur.Success)
+	}
+	role, part := m.gate.Role(at)
+	if part != m.part || at >= m.looked+lookEvery || m.change {
+		m.looked = at
+		actions = m.look(now, at, role, part)
+	}
+	actions = append(actions, m.in.Handle(now, e)...)
+	for _, a := range actions {
+		if s, is := a.(hollyspur.Send); is {
+			m.book.Sent(s.Server)
+		}
+	}
+	return actions
+}
+
+// list keeps what is listed.
+func (m *Module) list(x hollyspur.ServerList) {
+	if x.Full {
+		clear(m.listed)
+	}
+	for _, s := range x.Servers {
+		if s.State == hollyspur.Gone {
+			delete(m.listed, s.ID)
+		} else {
+			m.listed[s.ID] = s
+		}
+	}
+	m.change = m.change || x.Full || len(x.Servers) > 0
+}
+
+// look tells the module what has changed.
+func (m *Module) look(now, at time.Duration, r *Role, part float64) (actions []hollyspur.Action) {
+	if m.change || !slices.Equal(m.order, r.Order) {
+		m.share(r)
+	}
+	if m.plan != nil {
+		select {
+		case p := <-m.plan:
+			m.take(p)
+		default:
+		}
+	}
+	set := m.mover.Step(at)
+	if place := [2]int{r.Agreed, r.Index}; part != m.part || place != m.place || !slices.Equal(set, m.set) {
+		m.part, m.place, m.set = part, place, set
+		actions = append(actions, m.in.Handle(now, hollyspur.Fleet{Balancers: r.Agreed, Index: r.Index, Divisor: part, Subset: set})...)
+	}
+	actions = append(actions, m.listen(now, at)...)
+	if (at >= m.spoke+speakEvery || m.urgent && at >= m.spoke+lookEvery) && len(m.order) > 1 {
+		m.spoke, m.urgent = at, false
+		if d, is := m.book.Digest(at); is {
+			m.gate.speak(d, m.beside)
+		}
+	}
+	return actions
+}
+
+// share has the servers shared out among the members that count; of many it takes the answer later.
+func (m *Module) share(r *Role) {
+	if m.plan != nil {
+		return // one after the other: it is looked at again
+	}
+	m.change, m.order = false, r.Order
+	clear(m.boots)
+	servers := make([]hollyspur.Server, 0, len(m.listed))
+	for _, s := range m.listed {
+		if s.State == hollyspur.Ready {
+			servers = append(servers, s)
+			m.boots[s.ID] = s.Boot
+		}
+	}
+	order, me, sized := m.order, r.Index, m.sized
+	if len(order) < 2 || me >= len(order) {
+		m.take(plan{})
+		return
+	}
+	if len(order)*len(servers) <= atOnce {
+		m.take(share(order, me, servers, sized))
+		return
+	}
+	done := make(chan plan, 1)
+	m.plan = done
+	go func() { done <- share(order, me, servers, sized) }()
+}
+
+// share shares servers out. Their order is the module's own, so that the groups are.
+func share(members []string, me int, servers []hollyspur.Server, sized bool) (p plan) {
+	size := func(s hollyspur.Server) float64 {
+		if sized && s.Size > 0 {
+			return s.Size
+		}
+		return 1
+	}
+	slices.SortFunc(servers, func(a, b hollyspur.Server) int {
+		return cmp.Or(cmp.Compare(size(b), size(a)), cmp.Compare(a.Cell, b.Cell), cmp.Compare(a.ID, b.ID))
+	})
+	l := make([]subset.Server, len(servers))
+	for i, s := range servers {
+		l[i] = subset.Server{Name: membership.NameID(s.ID), Right: i >= (len(servers)+1)/2}
+	}
+	ids := make([]uint64, len(members))
+	for i, name := range members {
+		ids[i] = membership.NameID(name)
+	}
+	chosen := subset.Choose(ids, l)
+	p.owners = make(map[string][]uint64, len(servers))
+	for j, own := range chosen {
+		for _, i := range own {
+			p.owners[servers[i].ID] = append(p.owners[servers[i].ID], ids[j])
+		}
+	}
+	if chosen[me] == nil { // all draw from all
+		for _, s := range servers {
+			p.owners[s.ID] = ids
+			p.mine = append(p.mine, s.ID)
+		}
+		slices.Sort(p.mine)
+		p.beside = slices.Delete(slices.Clone(members), me, me+1)
+		return p
+	}
+	with := map[uint64]bool{}
+	for _, i := range chosen[me] {
+		p.mine = append(p.mine, servers[i].ID)
+		for _, id := range p.owners[servers[i].ID] {
+			with[id] = true
+		}
+	}
+	slices.Sort(p.mine)
+	for j, name := range members {
+		if j != me && with[ids[j]] {
+			p.beside = append(p.beside, name)
+		}
+	}
+	return p
 }
 
-// Handle passes an event on.
-func (m *Module) Handle(now time.Duration, e hollyspur.Event) []hollyspur.Action {
-	r, part := m.gate.Role(m.now())
-	is := hollyspur.Fleet{Balancers: r.Agreed, Index: r.Index, Divisor: part}
-	if is == m.told {
-		return m.in.Handle(now, e)
+// take goes over to a sharing.
+func (m *Module) take(p plan) {
+	m.plan, m.owners, m.beside = nil, p.owners, p.beside
+	if p.mine == nil { // nobody to share with: all are this node's, at once
+		m.mover = subset.NewMover(moveEvery)
+	}
+	m.mover.Aim(p.mine, func(id string) bool { _, is := m.boots[id]; return is })
+	draws := len(p.mine)
+	if draws == 0 {
+		draws = len(m.boots)
+	}
+	m.book.List(m.boots, draws)
+}
+
+// listen takes what others have told, and tells the module what is made of it.
+func (m *Module) listen(now, at time.Duration) []hollyspur.Action {
+	for _, w := range m.gate.hear() {
+		m.book.Heard(at, w.from, membership.NameID(w.from), w.run, w.digest)
+	}
+	verdicts := m.book.Verdicts(at, func(server string) []uint64 { return m.owners[server] }, turns.Place)
+	m.gate.heardOf(Hearsay{Verdicts: verdicts, Set: m.set, Moving: m.mover.Moving()})
+	var l, news []hollyspur.Aside
+	for _, v := range verdicts {
+		l = append(l, hollyspur.Aside{ID: v.Server, Boot: v.Boot, Until: now + v.Until - at})
+	}
+	for _, a := range l { // whom the module has not been told of, but for what the two clocks differ by
+		if i := slices.IndexFunc(m.aside, func(b hollyspur.Aside) bool { return b.ID == a.ID && b.Boot == a.Boot }); i < 0 || (m.aside[i].Until-a.Until).Abs() > lookEvery {
+			news = append(news, a)
+		}
+	}
+	for _, b := range m.aside { // and who is not put aside any more
+		if b.Until > now && !slices.ContainsFunc(l, func(a hollyspur.Aside) bool { return a.ID == b.ID && a.Boot == b.Boot }) {
+			news = append(news, hollyspur.Aside{ID: b.ID, Boot: b.Boot, Until: now})
+		}
+	}
+	m.aside = l
+	if len(news) == 0 {
+		return nil
 	}
-	m.told = is
-	return append(m.in.Handle(now, is), m.in.Handle(now, e)...)
+	return m.in.Handle(now, hollyspur.Hearsay{Aside: news})
 }
 
 type learner interface {
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -65,9 +65,19 @@
 	Of100    float64           `json:"of_100"` // what this node would take of a ration of 100 now
 	Why      string            `json:"why,omitempty"`
 	Order    []string          `json:"order"`
+	Subset   []string          `json:"subset"` // servers that first attempts are drawn from; null: all, or cut by number
+	Moving   bool              `json:"moving,omitempty"`
+	Aside    []AsideStatus     `json:"aside,omitempty"`
 	Differ   map[string]string `json:"differ,omitempty"` // members that don't fit, and how
 }
 
+// AsideStatus is a server that is put aside on others' word.
+type AsideStatus struct {
+	Server string   `json:"server"`
+	ForMS  float64  `json:"for_ms"` // still
+	By     []string `json:"by"`
+}
+
 // ChangeStatus is something that happened.
 type ChangeStatus struct {
 	AgoMS float64 `json:"ago_ms"`
@@ -125,6 +135,11 @@
 		r, part := f.gates[id].Role(now) // what the pool's module goes by
 		p := PoolStatus{Pool: name, Index: r.Index, Seen: r.Seen, Agreed: r.Agreed, Divisor: r.Divisor, Standing: !math.IsInf(part, 1), Granted: r.Granted,
 			Wanted: r.Wanted, Of100: 100 / part, Why: r.Why, Order: r.Order}
+		h := f.gates[id].heard.Load()
+		p.Subset, p.Moving = h.Set, h.Moving
+		for _, v := range h.Verdicts {
+			p.Aside = append(p.Aside, AsideStatus{v.Server, millis(max(0, v.Until-now)), v.By})
+		}
 		if p.Standing {
 			p.UntilMS = millis(min(r.Until-now, 1000*time.Hour))
 		} else if p.Why == "" {
@@ -178,6 +193,12 @@
 	fmt.Fprintln(t, "\npool\tplace\tseen\tagreed\tdivisor\tpart of 100\tgrants\tlasts\tnote")
 	for _, p := range s.Pools {
 		note := p.Why
+		if p.Subset != nil {
+			note += fmt.Sprintf("; draws from %d servers", len(p.Subset))
+		}
+		for _, a := range p.Aside {
+			note += fmt.Sprintf("; %s aside for %v by word of %s", a.Server, ago(a.ForMS), strings.Join(a.By, ", "))
+		}
 		for name, how := range p.Differ {
 			note += fmt.Sprintf("; %s: %s", name, how)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -248,7 +248,8 @@
 			}
 		}
 		if n.fleet != nil {
-			m = n.fleet.Module(pp.Name, m)
+			sized := pp.Settings.Sizes == hollyspur.SizesNominal || pp.Settings.Sizes == hollyspur.SizesRough
+			m = n.fleet.Module(pp.Name, sized, m)
 		}
 	}
 	var to engine.Sender
--- /dev/null
+++ b/internal/rig/together_test.go
@@ -0,0 +1,156 @@
+package rig
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"hollyspur/internal/fleet"
+	"hollyspur/internal/fleet/subset"
+	"hollyspur/internal/standin"
+)
+
+// shared waits until the subsets of these members share the servers out as evenly as they should, and gives them.
+func (f *Fleet) shared(t *testing.T, members ...int) map[[2]string]bool {
+	t.Helper()
+	var pairs map[[2]string]bool
+	last := ""
+	if !Await(patience, func() bool {
+		pairs = map[[2]string]bool{}
+		copies := map[string]int{}
+		for _, i := range members {
+			r, err := f.Members[i].Role()
+			if err != nil || r.Moving {
+				last = r.Pool
+				return false
+			}
+			set := r.Subset
+			if set == nil {
+				for _, s := range f.Servers {
+					set = append(set, s.ID())
+				}
+			}
+			for _, s := range set {
+				pairs[[2]string{f.Members[i].Name, s}] = true
+				copies[s]++
+			}
+		}
+		want := min(len(members), subset.Copies(len(members), len(f.Servers)))
+		for _, s := range f.Servers {
+			if copies[s.ID()] != want {
+				last = s.ID()
+				return false
+			}
+		}
+		return true
+	}) {
+		t.Fatalf("the servers are not shared out evenly among %v, as by %s", members, last)
+	}
+	return pairs
+}
+
+// TestSharedOut grows a fleet from two to eight and shrinks it to three under load, while a server is replaced: servers are
+// shared out evenly each time, and a death moves little more than what the dead had.
+func TestSharedOut(t *testing.T) {
+	t.Parallel()
+	f := start(t, FleetConfig{Members: 2, Room: 6, Nodes: 2, Servers: 24, Seed: 7})
+	f.agree(t, true, 0, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	var load sync.WaitGroup
+	run := func(i int) { f.Members[i].Stream(ctx, &load, Traffic(25, time.Hour)...) }
+	run(0)
+	run(1)
+	f.shared(t, 0, 1)
+	all := []int{0, 1, 2, 3, 4, 5, 6, 7}
+	for _, i := range all[2:] {
+		if err := f.Members[i].Start(); err != nil {
+			t.Fatal(err)
+		}
+		run(i)
+	}
+	f.agree(t, true, all...)
+	before := f.shared(t, all...)
+	f.Members[6].Kill()
+	left := []int{0, 1, 2, 3, 4, 5, 7}
+	f.agree(t, true, left...)
+	after := f.shared(t, left...)
+	moved := 0
+	for p := range after {
+		if !before[p] {
+			moved++
+		}
+	}
+	if most := 2 * len(before) / 8; moved > most {
+		t.Errorf("%d of %d pairs of a member and a server moved when one of eight died, %d at the most", moved, len(before), most)
+	}
+	f.Registry.Set(f.Servers[5], "DRAINING")
+	f.Servers[5].Crash()
+	if err := f.Servers[5].Restart(); err != nil {
+		t.Fatal(err)
+	}
+	f.Registry.Set(f.Servers[5], "SERVING")
+	for _, i := range []int{1, 3, 5, 7} {
+		f.Members[i].Leave()
+	}
+	f.agree(t, true, 0, 2, 4)
+	f.shared(t, 0, 2, 4)
+	stop()
+	load.Wait()
+	if v := judge(t, f); v.Served < 200 {
+		t.Errorf("%+v", v)
+	}
+}
+
+// TestWords has one server of twelve fail every call: members put it aside on others' words, keep to that while the one that
+// told most is stopped, and use it again once it is well.
+func TestWords(t *testing.T) {
+	t.Parallel()
+	f := start(t, FleetConfig{Members: 6, Servers: 12, Seed: 8})
+	all := []int{0, 1, 2, 3, 4, 5}
+	f.agree(t, true, all...)
+	ctx, stop := context.WithCancel(context.Background())
+	var load sync.WaitGroup
+	for _, m := range f.Members {
+		m.Stream(ctx, &load, standin.Stream{Class: Read, Rate: 40, For: time.Hour})
+	}
+	aside := func(server string) (n int) {
+		for _, i := range all {
+			r, err := f.Members[i].Role()
+			if err == nil && slices.ContainsFunc(r.Aside, func(a fleet.AsideStatus) bool { return a.Server == server }) {
+				n++
+			}
+		}
+		return n
+	}
+	sick := f.Servers[4]
+	sick.SetMode(standin.Failing)
+	if !Await(patience, func() bool { return aside(sick.ID()) >= 2 }) {
+		t.Fatal("nobody goes by others' words")
+	}
+	for _, s := range f.Servers {
+		if s != sick && aside(s.ID()) > 1 {
+			t.Errorf("%s is well, and put aside", s.ID())
+		}
+	}
+	f.Members[2].Pause()
+	f.agree(t, true, 0, 1, 3, 4, 5)
+	sick.SetMode(standin.Serving)
+	from := f.Rec.Now()
+	f.Members[2].Resume()
+	if !Await(patience, func() bool {
+		n := 0
+		for _, a := range f.Rec.Recent(2000) {
+			if a.Server == sick.ID() && a.First > from && a.Ran {
+				n++
+			}
+		}
+		return n > 20 && aside(sick.ID()) == 0
+	}) {
+		t.Error("the server is well again and not used")
+	}
+	stop()
+	load.Wait()
+	judge(t, f)
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"hollyspur"
@@ -55,7 +56,7 @@
 // Detail is a line about one event or action.
 type Detail struct {
 	AtMS    float64 `json:"at_ms"`
-	What    string  `json:"what"` // request, send, end, answer, list
+	What    string  `json:"what"` // request, send, end, answer, list, fleet, aside
 	ID      string  `json:"id,omitempty"`
 	Class   string  `json:"class,omitempty"`
 	Server  string  `json:"server,omitempty"`
@@ -179,6 +180,12 @@
 			m.answer(now, e.ID, c, "gone")
 			m.forget(e.ID, c)
 		}
+	case hollyspur.Fleet:
+		m.detail(Detail{AtMS: ms(now), What: "fleet", How: fmt.Sprintf("%d of %d, 1/%v of rations, %d servers", e.Index, e.Balancers, e.Divisor, len(e.Subset))})
+	case hollyspur.Hearsay:
+		for _, a := range e.Aside {
+			m.detail(Detail{AtMS: ms(now), What: "aside", Server: a.ID, LeftMS: ms(a.Until - now)})
+		}
 	case hollyspur.ServerList:
 		for _, s := range e.Servers {
 			m.detail(Detail{AtMS: ms(now), What: "list", Server: s.ID, How: states[s.State]})
--- a/policy.go
+++ b/policy.go
@@ -102,6 +102,8 @@
 		b.takeList(e)
 	case Fleet:
 		b.takeFleet(e)
+	case Hearsay:
+		b.takeHearsay(e)
 	case ListFailed:
 		b.subFails++
 		b.askAgain(e.Garbled)
@@ -234,20 +236,6 @@
 	}
 }
 
-// takeFleet goes over to another place among the copies. What was learned stays; rations follow the divisor.
-func (b *Balancer) takeFleet(e Fleet) {
-	for _, q := range b.quotaList {
-		q.fill(b.now)
-	}
-	before := b.fairServers()
-	b.set.Balancers, b.set.Index, b.divisor = max(1, e.Balancers), e.Index, e.Divisor
-	for _, q := range b.quotaList {
-		q.divide(b.divisor)
-	}
-	b.resize(before, b.fairServers())
-	b.release()
-}
-
 // before is the shared order: every copy sorts by id, which all see alike.
 func (b *Balancer) before(x, y *server) bool {
 	if b.size(x) != b.size(y) {
@@ -786,7 +774,7 @@
 
 // unfit says that a server should not be drawn now for its health.
 func (b *Balancer) unfit(s *server, r *request) bool {
-	if b.now < s.until || b.silent(s) {
+	if b.away(s) {
 		return true
 	}
 	// After an ejection one safe trial at a time decides: a bad server must not eat a request that
@@ -794,6 +782,9 @@
 	return s.level > 0 && s.goods == 0 && (r.class.Effect == Unsafe || s.calls > 0)
 }
 
+// away says that a server is ejected, put aside on others' word, or silent.
+func (b *Balancer) away(s *server) bool { return b.now < max(s.until, s.aside) || b.silent(s) }
+
 // silent says that an old call to the server is unanswered while a younger one was answered
 // elsewhere: a machine gone quiet, hung or pausing shows nothing else until time-outs end.
 func (b *Balancer) silent(s *server) bool {
@@ -1024,7 +1015,7 @@
 		part := b.window / max(1, float64(len(b.subset)))
 		for _, s := range b.ready {
 			b.astray += max(0, s.calls-max(crowding, 1+int(part)))
-			if b.now < s.until || b.silent(s) {
+			if b.away(s) {
 				out++
 			} else if w := b.warmth(s); w < 1 {
 				b.usable += b.coldRoom(w) / windowFloor
--- a/state.go
+++ b/state.go
@@ -14,10 +14,11 @@
 	now       time.Duration
 	out       []Action
 	servers   map[string]*server
-	ready     []*server // ready servers in the shared order
-	largest   float64   // size in the subset
-	meanSize  float64   // of the subset
-	subset    []*server // those of them that this copy's first attempts are drawn from, in that order
+	ready     []*server       // ready servers in the shared order
+	largest   float64         // size in the subset
+	meanSize  float64         // of the subset
+	chosen    map[string]bool // ids that the subset is to be of; nil: it is cut by number
+	subset    []*server       // those of them that this copy's first attempts are drawn from, in that order
 	requests  map[string]*request
 	held      []*request
 	classes   map[string]*class
@@ -123,7 +124,8 @@
 	level    int // doublings of the next ejection
 	goods    int // good endings in a row
 	until    time.Duration
-	slow     float64 // mean log of latency over the class mean
+	aside    time.Duration // until then it is not drawn, on others' word
+	slow     float64       // mean log of latency over the class mean
 	samples  int
 	lastOK   time.Duration
 	took     time.Duration // when the youngest call was sent that it is known to have taken
