A tenant's quota goes to where its traffic is: loans that ride on beats and end by themselves

Change: internal/fleet/shares. Beats tell what members would take and lend of what they have; a loan ends for the borrower half a lease after it sent what the loan echoes, and for the lender later.

--- a/internal/fleet/emulated_test.go
+++ b/internal/fleet/emulated_test.go
@@ -78,7 +78,7 @@
 		if err != nil || tier > 0 {
 			panic(fmt.Sprint(err, tier))
 		}
-		return NewModule(b, f.gates[index], f.names[index], false, func() time.Duration { return f.w.Now() + time.Hour })
+		return NewModule(b, f.gates[index], f.names[index], set, func() time.Duration { return f.w.Now() + time.Hour })
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/hashicorp/memberlist"
 
 	"hollyspur/internal/fleet/membership"
+	"hollyspur/internal/fleet/shares"
 )
 
 // Config is what a member is told at its start.
@@ -57,6 +58,8 @@
 	list     *memberlist.Memberlist
 	view     *membership.View
 	roll     *membership.Roll
+	share    membership.Share // as of the last round
+	loans    *shares.Book
 	nodes    map[string]memberlist.Node // as last heard of, also those that have failed
 	gates    map[uint32]*Gate
 	pools    map[uint32]string
@@ -94,6 +97,7 @@
 	f.news = &memberlist.TransmitLimitedQueue{RetransmitMult: 2, NumNodes: func() int { return int(f.known.Load()) + 1 }}
 	f.view = membership.NewView(now, f.card(), membership.Settle{After: cfg.Settle, Calm: calm})
 	f.roll = membership.NewRoll(now, cfg.Name, f.run, f.lease())
+	f.loans = shares.NewBook(f.lease().Loan())
 	if err := f.open(); err != nil {
 		if !errors.Is(err, errInUse) {
 			return nil, err
@@ -208,8 +212,15 @@
 // publish tells the gates of the pools. f.mu is held.
 func (f *Fleet) publish(now time.Duration) {
 	share := f.roll.Share(now)
+	f.share = share
 	for pool, g := range f.gates {
-		g.role.Store(f.role(now, pool, share))
+		r := f.role(now, pool, share)
+		g.role.Store(r)
+		own := 0.0
+		if r.Standing(now) {
+			own = 1 / float64(r.Divisor)
+		}
+		g.share(now, f.loans, own)
 	}
 }
 
@@ -245,17 +256,23 @@
 	}
 	f.lateAt = now
 	l := f.list
-	type letter struct {
+	type addressed struct {
 		to memberlist.Node
 		b  []byte
 	}
-	var letters []letter
+	var letters []addressed
 	if l != nil && !f.closed {
+		counted := func(name string) bool { _, is := slices.BinarySearch(f.share.Count, name); return is }
+		f.loans.Forget(now, func(name string) bool { _, is := f.nodes[name]; return is })
+		wants := f.loans.Wants()
 		for _, name := range f.roll.Round(now) {
 			if n, is := f.nodes[name]; is {
-				letters = append(letters, letter{n, append([]byte{beatMessage}, f.roll.Beat(name).Encode()...)})
+				b := append([]byte{beatMessage}, f.roll.Beat(name).Encode()...)
+				lent := f.loans.Lend(now, name, 1/f.share.Part(now), f.share.Until, counted)
+				letters = append(letters, addressed{n, append(b, shares.Encode(wants, lent)...)})
 			}
 		}
+		f.publish(now) // what is lent is not this node's any more before anybody hears of it
 	}
 	f.mu.Unlock()
 	for _, x := range letters {
@@ -340,7 +357,7 @@
 	g := f.gates[id]
 	if g == nil {
 		now := BootTime()
-		g = &Gate{pool: id, tell: f.say}
+		g = &Gate{pool: id, tell: f.say, wants: f.wants}
 		g.heard.Store(&Hearsay{})
 		f.gates[id], f.pools[id] = g, name
 		g.role.Store(f.role(now, id, f.roll.Share(now)))
@@ -348,6 +365,22 @@
 	return g
 }
 
+// wants notes what tenants would take at this node.
+func (f *Fleet) wants(g *Gate, l map[string]float64) {
+	rations := g.rations()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, share := range l {
+		if share < leastWant {
+			share = 0
+		}
+		f.loans.Want(rations[name], share)
+	}
+}
+
+// leastWant is what a want is worth telling from on.
+const leastWant = 0.002
+
 // SetPools tells others that this node's pools are these, after a reload.
 func (f *Fleet) SetPools(pools []membership.Service) {
 	f.mu.Lock()
--- a/internal/fleet/gate.go
+++ b/internal/fleet/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"hash/fnv"
 	"math"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/hashicorp/memberlist"
 
 	"hollyspur/internal/fleet/membership"
+	"hollyspur/internal/fleet/shares"
 	"hollyspur/internal/fleet/signal"
 )
 
@@ -35,10 +37,88 @@
 	pool  uint32
 	role  atomic.Pointer[Role]
 	heard atomic.Pointer[Hearsay]
+	parts atomic.Pointer[Parts]
 	tell  func(d signal.Digest, to []string) // never waits
+	wants func(g *Gate, shares map[string]float64)
 
-	mu    sync.Mutex // guards inbox
-	inbox []word
+	mu      sync.Mutex // guards what follows
+	inbox   []word
+	tenants map[string]shares.Ration
+}
+
+// Parts are this node's of the quotas of tenants.
+type Parts struct {
+	Of    map[string]float64 // 0 to 1; nil: all are as the divisor says
+	Until time.Duration      // when less is its own again, if nothing more is heard
+	Then  *Parts             // from then on
+}
+
+// quotas are the parts at that time. The same pointer is the same parts.
+func (g *Gate) quotas(now time.Duration) *Parts {
+	p := g.parts.Load()
+	if p == nil {
+		return noParts
+	}
+	if now >= p.Until && p.Then != nil {
+		return p.Then
+	}
+	return p
+}
+
+var noParts = &Parts{}
+
+// ration tells which tenants of the pool have quotas.
+func (g *Gate) ration(uses map[string]*use) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tenants = map[string]shares.Ration{}
+	for name := range uses {
+		h := fnv.New32a()
+		h.Write(binary.LittleEndian.AppendUint32(nil, g.pool))
+		h.Write([]byte(name))
+		g.tenants[name] = shares.Ration(h.Sum32())
+	}
+}
+
+func (g *Gate) rations() map[string]shares.Ration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tenants
+}
+
+func (g *Gate) want(l map[string]float64) {
+	if g.wants != nil {
+		g.wants(g, l)
+	}
+}
+
+// share publishes what the book gives of each quota; own is the node's part of the pool's divisor, 0: none.
+func (g *Gate) share(now time.Duration, b *shares.Book, own float64) {
+	tenants := g.rations()
+	if len(tenants) == 0 {
+		return
+	}
+	p := &Parts{Of: map[string]float64{}, Until: 1 << 62, Then: &Parts{Of: map[string]float64{}, Until: 1 << 62}}
+	for name, r := range tenants {
+		part, until := b.Part(now, r, own)
+		p.Of[name], p.Until = part, min(p.Until, until)
+		p.Then.Of[name] = max(0, own-b.Lent(now, r))
+	}
+	was := g.quotas(now)
+	if was != noParts && now < p.Until && similar(was.Of, p.Of) && was.Until == p.Until {
+		return
+	}
+	g.parts.Store(p)
+}
+
+// similar says that two sets of parts are the same but for a little that is more.
+func similar(was, is map[string]float64) bool {
+	for name, part := range is {
+		if w, known := was[name]; !known || part < w-1e-9 || part > w+0.01 {
+			return false
+		}
+	}
+	return len(was) == len(is)
 }
 
 // word is what another member has told.
--- a/internal/fleet/gossip.go
+++ b/internal/fleet/gossip.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"hollyspur/internal/fleet/membership"
+	"hollyspur/internal/fleet/shares"
 )
 
 // BootTime is elapsed time since the machine started. It goes on while the process, or the machine, is stopped, and no
@@ -110,12 +111,17 @@
 	}
 	switch b[0] {
 	case beatMessage:
-		x, err := membership.DecodeBeat(b[1:])
+		x, rest, err := membership.DecodeBeat(b[1:])
 		if err != nil {
 			f.unreadable(err)
 			return
 		}
-		f.heard(x)
+		wants, loans, err := shares.Decode(rest)
+		if err != nil {
+			f.unreadable(err)
+			return
+		}
+		f.heard(x, wants, loans)
 	case rollMessage:
 		d.MergeRemoteState(b[1:], false)
 	case signalMessage:
@@ -125,10 +131,16 @@
 }
 
 // heard takes a beat, and tells its sender the roll if that seems to know another.
-func (f *Fleet) heard(x membership.Beat) {
+func (f *Fleet) heard(x membership.Beat, wants []shares.Want, loans []shares.Loan) {
 	now := BootTime()
 	f.mu.Lock()
-	stranger := f.roll.Heard(now, x)
+	stranger, sent := f.roll.Heard(now, x)
+	if _, is := f.nodes[x.From]; is && x.To == membership.NameID(f.cfg.Name) {
+		f.loans.Heard(now, x.From, wants, loans, sent)
+		if len(loans) > 0 {
+			f.wake()
+		}
+	}
 	n, known := f.nodes[x.From]
 	if !stranger || !known || f.list == nil || f.closed || now-f.told[x.From] < tellEvery {
 		f.mu.Unlock()
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 
+	"hollyspur"
 	"hollyspur/internal/engine"
 	"hollyspur/internal/fleet/membership"
 )
@@ -16,9 +17,9 @@
 	return membership.SortServices(l)
 }
 
-// Module puts a gate before a pool's module; sized says that the pool's list tells sizes.
-func (f *Fleet) Module(pool string, sized bool, in engine.Module) engine.Module {
-	return NewModule(in, f.Gate(pool), f.cfg.Name, sized, BootTime)
+// Module puts a gate before a pool's module, which has these settings.
+func (f *Fleet) Module(pool string, s hollyspur.Settings, in engine.Module) engine.Module {
+	return NewModule(in, f.Gate(pool), f.cfg.Name, s, BootTime)
 }
 
 // Serve tells the others which pools this node has from now on.
--- a/internal/fleet/membership/beat.go
+++ b/internal/fleet/membership/beat.go
@@ -65,23 +65,23 @@
 	return t
 }
 
-// DecodeBeat reads a beat. What follows it, from a later version, is left unread.
-func DecodeBeat(t []byte) (Beat, error) {
+// DecodeBeat reads a beat, and gives what follows it.
+func DecodeBeat(t []byte) (b Beat, rest []byte, err error) {
 	r := reader{b: t}
 	if r.byte() != beatVersion {
-		return Beat{}, fmt.Errorf("%w: another version", ErrBeat)
+		return Beat{}, nil, fmt.Errorf("%w: another version", ErrBeat)
 	}
 	flags := r.byte()
-	b := Beat{Settled: flags&1 != 0, Leaving: flags&2 != 0, From: r.text(MaxName), Run: r.uint64(), To: r.uint64(), Seq: r.uint64(),
+	b = Beat{Settled: flags&1 != 0, Leaving: flags&2 != 0, From: r.text(MaxName), Run: r.uint64(), To: r.uint64(), Seq: r.uint64(),
 		Roll: r.uint64(), Echo: r.uint64(), EchoRun: r.uint64(), Epoch: r.uint32()}
 	n := int(r.uint16())
 	if r.bad || n > MaxOut || len(r.b) < 8*n || !GoodName(b.From) || b.Seq == 0 || b.Epoch == 0 {
-		return Beat{}, ErrBeat
+		return Beat{}, nil, ErrBeat
 	}
 	for range n {
 		b.Out = append(b.Out, r.uint64())
 	}
-	return b, nil
+	return b, r.b, nil
 }
 
 // Entry is a name on the roll. Of two for one name the one of the higher epoch holds; of one epoch whoever is gone is
--- a/internal/fleet/membership/roll.go
+++ b/internal/fleet/membership/roll.go
@@ -17,7 +17,12 @@
 // The other times follow from the lease. Each is longer than it, for what one member takes back must have run out at
 // the other first; the margins are for clocks that run unevenly.
 func (l Lease) silence() time.Duration { return l.For * 13 / 10 } // before a member is held to be out
-func (l Lease) back() time.Duration    { return l.For * 12 / 10 } // before one that was out is granted anything
+func (l Lease) back() time.Duration    { return l.For * 17 / 10 } // before one that was out is granted anything
+func (l Lease) seat() time.Duration    { return l.For * 6 / 10 }  // before one that was let in takes a part
+
+// Loan is how long a part may be lent for at the most. Who counts no others than it did lends of a part that is too
+// large for at most a lease after another is heard again: seat and back are longer than the loans that it gives.
+func (l Lease) Loan() time.Duration { return l.For / 2 }
 
 // BeatEvery is how often beats go out.
 func (l Lease) BeatEvery() time.Duration { return l.For / 6 }
@@ -44,6 +49,7 @@
 	hashes  [64]uint64 // that the roll had, the newest at hashAt
 	hashAt  int
 	leaving bool
+	seated  time.Duration // when this node was let in by others; zero: it founded the fleet with them, or came back
 	// The same in all beats of a round.
 	allSettled bool
 	allOut     []uint64
@@ -230,41 +236,42 @@
 	return b
 }
 
-// Heard takes a beat. stranger says that the sender's roll is not known here, so that each should tell the other its.
-func (r *Roll) Heard(now time.Duration, b Beat) (stranger bool) {
+// Heard takes a beat. stranger says that the sender's roll is not known here, so that each should tell the other its;
+// sent is when the beat of ours went out that this one echoes, zero if it grants nothing.
+func (r *Roll) Heard(now time.Duration, b Beat) (stranger bool, sent time.Duration) {
 	r.at(now)
 	if b.To != NameID(r.me) || b.From == r.me {
 		if b.From == r.me && b.Run != r.run && b.To == NameID(r.me) {
 			r.twins[r.me] = b.Run
 		}
-		return false
+		return false, 0
 	}
 	if b.Epoch > MaxEpoch {
-		return false
+		return false, 0
 	}
 	r.Merge(now, []Entry{{Name: b.From, Epoch: b.Epoch, Gone: b.Leaving}})
 	s := r.seats[b.From]
 	if s == nil || s.Gone || s.Epoch != b.Epoch {
-		return s != nil && !b.Leaving // it does not know that it is off the roll, or that it came back
+		return s != nil && !b.Leaving, 0 // it does not know that it is off the roll, or that it came back
 	}
 	if s.run != b.Run {
 		// Another process of that name. As long as the one before may still act on what it was granted, it does not
 		// count; if that one goes on, neither ever does.
 		if s.run != 0 && r.last-s.heard < r.lease.For {
 			r.twins[b.From] = b.Run
-			return false
+			return false, 0
 		}
 		s.run, s.seq, s.was, s.hasClaim, s.claims = b.Run, 0, false, false, nil
 	}
 	if b.Seq <= s.seq {
-		return false // late, or played again
+		return false, 0 // late, or played again
 	}
 	s.seq, s.heard, s.agreed, s.settled = b.Seq, r.last, b.Roll, b.Settled
 	if s.out {
 		s.out, s.back = false, r.last+r.lease.back()
 	}
 	if b.Roll == 0 || !slices.Contains(r.hashes[:], b.Roll) {
-		return true
+		return true, 0
 	}
 	if age := r.seq - b.Echo; b.EchoRun == r.run && b.Echo > 0 && b.Echo <= r.seq && age < uint64(len(r.sent)) {
 		at := r.sent[b.Echo%uint64(len(r.sent))]
@@ -272,6 +279,7 @@
 			s.granted, s.was = at, true
 		}
 		s.claimed, s.hasClaim, s.claims = at, true, nil
+		sent = at
 		for _, id := range b.Out {
 			if s.claims == nil {
 				s.claims = map[uint64]bool{}
@@ -279,7 +287,7 @@
 			s.claims[id] = true
 		}
 	}
-	return b.Roll != r.hash
+	return b.Roll != r.hash, sent
 }
 
 // Share is the part of rations that this node may take.
@@ -443,6 +451,8 @@
 		r.settleVoters(councils)
 		if sh.Until == 0 {
 			sh.Why = "no majority grants it anything"
+		} else if r.seated > 0 && r.last-r.seated < r.lease.seat() {
+			sh.Until, sh.Why = 0, "it has just been let in"
 		}
 	case sh.Until == 0 && founding:
 		sh.Why = "it has met too few, or for too short a time, to found a fleet"
@@ -453,7 +463,7 @@
 	default:
 		r.seat(founding)
 		if sh.Seated = true; !founding { // its seat counts once the others are known to have heard of it
-			sh.Until, sh.Why = 0, "it has just been let in"
+			sh.Until, sh.Why, r.seated = 0, "it has just been let in", r.last
 		}
 	}
 	return sh
--- a/internal/fleet/membership/roll_test.go
+++ b/internal/fleet/membership/roll_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"hollyspur/internal/fleet/shares"
 )
 
 const ms = time.Millisecond
@@ -21,6 +23,7 @@
 	delay func() time.Duration // of a message; negative: it is lost
 	cut   map[[2]string]bool   // from, to
 	runs  uint64
+	want  func() float64 // what a process that starts would take of the ration
 }
 
 type proc struct {
@@ -34,6 +37,7 @@
 	nextAt  time.Duration
 	told    map[string]time.Duration // when it last sent its roll
 	share   Share                    // as of its last tick, held against its clock
+	book    *shares.Book
 	leaving bool
 }
 
@@ -42,10 +46,14 @@
 	from, to *proc
 	beat     *Beat
 	entries  []Entry
+	wants    []shares.Want
+	loans    []shares.Loan
 }
 
+const ration = shares.Ration(7)
+
 func newWorld(l Lease) *world {
-	return &world{lease: l, cut: map[[2]string]bool{}, delay: func() time.Duration { return ms }}
+	return &world{lease: l, cut: map[[2]string]bool{}, delay: func() time.Duration { return ms }, want: func() float64 { return 0 }}
 }
 
 func (p *proc) clock(now time.Duration) time.Duration {
@@ -55,11 +63,16 @@
 func (w *world) start(name string, rate float64) *proc {
 	w.runs++
 	p := &proc{name: name, rate: rate, began: w.now, offset: time.Duration(w.runs) * time.Hour, nextAt: w.now, told: map[string]time.Duration{}}
+	p.book = shares.NewBook(w.lease.Loan())
+	p.book.Want(ration, w.want())
 	p.roll = NewRoll(p.clock(w.now), name, w.runs, w.lease)
 	w.procs = append(w.procs, p)
 	return p
 }
 
+// own is a process's part of the divisor.
+func (p *proc) own(t time.Duration) float64 { return 1 / p.share.Part(t) }
+
 // find is the process that runs under a name; nil if none does.
 func (w *world) find(name string) *proc {
 	for _, p := range w.procs {
@@ -103,7 +116,9 @@
 			l.to.roll.Merge(t, l.entries)
 			continue
 		}
-		if l.to.roll.Heard(t, *l.beat) && (l.to.told[l.from.name] == 0 || t-l.to.told[l.from.name] > 200*ms) {
+		stranger, sent := l.to.roll.Heard(t, *l.beat)
+		l.to.book.Heard(t, l.from.name, l.wants, l.loans, sent)
+		if stranger && (l.to.told[l.from.name] == 0 || t-l.to.told[l.from.name] > 200*ms) {
 			l.to.told[l.from.name] = t
 			w.send(letter{from: l.to, to: l.from, entries: l.to.roll.Entries()})
 		}
@@ -115,11 +130,14 @@
 		p.nextAt = w.now + w.lease.BeatEvery()
 		for _, to := range p.roll.Round(p.clock(w.now)) {
 			if q := w.find(to); q != nil {
-				b := p.roll.Beat(to)
-				w.send(letter{from: p, to: q, beat: &b})
+				b, t := p.roll.Beat(to), p.clock(w.now)
+				w.send(letter{from: p, to: q, beat: &b, wants: p.book.Wants(), loans: p.book.Lend(t, to, p.own(t), p.share.Until, func(name string) bool {
+					return slices.Contains(p.share.Count, name)
+				})})
 			}
 		}
 		p.share = p.roll.Share(p.clock(w.now))
+		p.book.Forget(p.clock(w.now), func(string) bool { return true })
 	}
 }
 
@@ -127,7 +145,9 @@
 func (w *world) spent() (sum float64) {
 	for _, p := range w.procs {
 		if !p.dead && !p.paused {
-			sum += 1 / p.share.Part(p.clock(w.now))
+			t := p.clock(w.now)
+			part, _ := p.book.Part(t, ration, p.own(t))
+			sum += part
 		}
 	}
 	return sum
@@ -282,6 +302,7 @@
 			}
 			return time.Duration(1+rapid.IntRange(0, delay).Draw(t, "delay")) * ms
 		}
+		w.want = func() float64 { return float64(rapid.IntRange(0, 3).Draw(t, "want")) / 3 }
 		names := 0
 		start := func(name string) {
 			p := w.start(name, 1+float64(rapid.IntRange(-20, 20).Draw(t, "rate"))/1000)
@@ -323,6 +344,7 @@
 				}
 			case 3:
 				clear(w.cut)
+				p.book.Want(ration, w.want())
 			case 4:
 				delay, loss = rapid.IntRange(0, 1500).Draw(t, "slow"), rapid.IntRange(0, 60).Draw(t, "loss")
 			case 5:
@@ -407,3 +429,30 @@
 		}
 	})
 }
+
+// TestLoans: with use at one of eight members only, and then at another, that one has nearly all of the whole within two
+// leases, and all together never more.
+func TestLoans(t *testing.T) {
+	w := newWorld(Lease{For: time.Second, Nodes: 8})
+	w.group(8)
+	w.run(t, 4*time.Second)
+	for _, who := range []int{0, 5} {
+		for i, p := range w.procs {
+			p.book.Want(ration, 0)
+			if i == who {
+				p.book.Want(ration, 2)
+			}
+		}
+		w.run(t, 2*time.Second)
+		p := w.procs[who]
+		if part, _ := p.book.Part(p.clock(w.now), ration, p.own(p.clock(w.now))); part < 0.88 {
+			t.Errorf("member %d, the only one with use, has %v of the whole", who, part)
+		}
+	}
+	w.procs[2].dead = true // with what it lent
+	w.run(t, 4*time.Second)
+	p := w.procs[5]
+	if part, _ := p.book.Part(p.clock(w.now), ration, p.own(p.clock(w.now))); part < 0.88 {
+		t.Errorf("after a death it has %v of the whole", part)
+	}
+}
--- a/internal/fleet/membership/view_test.go
+++ b/internal/fleet/membership/view_test.go
@@ -181,11 +181,11 @@
 		t.Errorf("%+v, %v", got, err)
 	}
 	beat := Beat{From: "n1", Run: 1, To: 2, Seq: 3, Epoch: 4, Settled: true, Roll: 5, Echo: 6, EchoRun: 7, Out: []uint64{8, 9}}
-	if got, err := DecodeBeat(beat.Encode()); err != nil || !reflect.DeepEqual(got, beat) {
+	if got, _, err := DecodeBeat(beat.Encode()); err != nil || !reflect.DeepEqual(got, beat) {
 		t.Errorf("%+v, %v", got, err)
 	}
 	for _, bad := range []Beat{{From: strings.Repeat("n", 200), Seq: 1, Epoch: 1}, {From: "n", Epoch: 1}, {From: "a b", Seq: 1, Epoch: 1}} {
-		if _, err := DecodeBeat(bad.Encode()); !errors.Is(err, ErrBeat) {
+		if _, _, err := DecodeBeat(bad.Encode()); !errors.Is(err, ErrBeat) {
 			t.Errorf("%+v is taken: %v", bad, err)
 		}
 	}
@@ -205,8 +205,8 @@
 				t.Errorf("%x is read as %+v", b, c)
 			}
 		}
-		if x, err := DecodeBeat(b); err == nil {
-			if y, err := DecodeBeat(x.Encode()); err != nil || !reflect.DeepEqual(x, y) || len(x.Out) > MaxOut {
+		if x, _, err := DecodeBeat(b); err == nil {
+			if y, _, err := DecodeBeat(x.Encode()); err != nil || !reflect.DeepEqual(x, y) || len(x.Out) > MaxOut {
 				t.Errorf("%x is read as %+v", b, x)
 			}
 			r := NewRoll(0, "me", 1, Lease{For: time.Second, Nodes: 3})
--- a/internal/fleet/module.go
+++ b/internal/fleet/module.go
@@ -28,6 +28,7 @@
 	now   func() time.Duration
 	sized bool // the list tells sizes, which the shared order goes by
 	me    uint64
+	uses  map[string]*use // of tenants with a quota
 
 	listed map[string]hollyspur.Server
 	boots  map[string]time.Duration // of the ready ones
@@ -46,6 +47,37 @@
 	looked time.Duration
 	spoke  time.Duration
 	urgent bool // a call has ended badly since
+	quotas *Parts
+	counts time.Duration // when uses were last reckoned
+}
+
+// use is what a tenant asks of this node.
+type use struct {
+	quota float64 // of all nodes, requests a second
+	asked int     // since it was last reckoned
+	rate  float64
+}
+
+// countEvery is how often what tenants ask is reckoned; the latest counts for half.
+const countEvery = 250 * time.Millisecond
+
+// count tells the fleet what tenants would take here, as shares of their quotas.
+func (m *Module) count(at time.Duration) {
+	if len(m.uses) == 0 || at < m.counts+countEvery {
+		return
+	}
+	long := (at - m.counts).Seconds()
+	m.counts = at
+	if long > 10*countEvery.Seconds() { // nothing has come for a while
+		long = 10 * countEvery.Seconds()
+	}
+	shares := make(map[string]float64, len(m.uses))
+	for name, u := range m.uses {
+		u.rate = (u.rate + float64(u.asked)/long) / 2
+		u.asked = 0
+		shares[name] = u.rate / u.quota
+	}
+	m.gate.want(shares)
 }
 
 // plan is how servers are shared out.
@@ -65,10 +97,18 @@
 )
 
 // NewModule returns a module that goes by a gate; now tells the time that the gate goes by.
-func NewModule(in Decider, g *Gate, me string, sized bool, now func() time.Duration) *Module {
+func NewModule(in Decider, g *Gate, me string, s hollyspur.Settings, now func() time.Duration) *Module {
 	id := membership.NameID(me)
-	return &Module{in: in, gate: g, now: now, sized: sized, me: id, listed: map[string]hollyspur.Server{}, boots: map[string]time.Duration{},
-		mover: subset.NewMover(moveEvery), book: signal.NewBook(g.pool, id), looked: math.MinInt64}
+	uses := make(map[string]*use, len(s.Tenants))
+	for _, t := range s.Tenants {
+		if t.Quota > 0 {
+			uses[t.Name] = &use{quota: t.Quota}
+		}
+	}
+	g.ration(uses)
+	sized := s.Sizes == hollyspur.SizesNominal || s.Sizes == hollyspur.SizesRough
+	return &Module{uses: uses, in: in, gate: g, now: now, sized: sized, me: id, listed: map[string]hollyspur.Server{}, boots: map[string]time.Duration{},
+		mover: subset.NewMover(moveEvery), book: signal.NewBook(g.pool, id), looked: math.MinInt64, quotas: &Parts{}}
 }
 
 // Handle passes an event on, after what has changed.
@@ -77,15 +117,20 @@
 	switch x := e.(type) {
 	case hollyspur.ServerList:
 		m.list(x)
+	case hollyspur.Request:
+		if u := m.uses[x.Tenant]; u != nil && !x.Repeat {
+			u.asked++
+		}
 	case hollyspur.Outcome:
 		bad := x.Ending == hollyspur.Failure || x.Ending == hollyspur.TimedOut || x.Ending == hollyspur.Unreachable || x.Ending == hollyspur.Broken
 		m.urgent = m.urgent || bad
 		m.book.Ended(at, x.Server, bad, bad || x.Ending == hollyspur.Success)
 	}
 	role, part := m.gate.Role(at)
-	if part != m.part || at >= m.looked+lookEvery || m.change {
+	quotas := m.gate.quotas(at)
+	if part != m.part || at >= m.looked+lookEvery || m.change || quotas != m.quotas {
 		m.looked = at
-		actions = m.look(now, at, role, part)
+		actions = m.look(now, at, role, part, quotas)
 	}
 	actions = append(actions, m.in.Handle(now, e)...)
 	for _, a := range actions {
@@ -112,7 +157,7 @@
 }
 
 // look tells the module what has changed.
-func (m *Module) look(now, at time.Duration, r *Role, part float64) (actions []hollyspur.Action) {
+func (m *Module) look(now, at time.Duration, r *Role, part float64, quotas *Parts) (actions []hollyspur.Action) {
 	if m.change || !slices.Equal(m.order, r.Order) {
 		m.share(r)
 	}
@@ -124,10 +169,15 @@
 		}
 	}
 	set := m.mover.Step(at)
-	if place := [2]int{r.Agreed, r.Index}; part != m.part || place != m.place || !slices.Equal(set, m.set) {
-		m.part, m.place, m.set = part, place, set
-		actions = append(actions, m.in.Handle(now, hollyspur.Fleet{Balancers: r.Agreed, Index: r.Index, Divisor: part, Subset: set})...)
+	if place := [2]int{r.Agreed, r.Index}; part != m.part || place != m.place || quotas != m.quotas || !slices.Equal(set, m.set) {
+		m.part, m.place, m.set, m.quotas = part, place, set, quotas
+		of := quotas.Of
+		if math.IsInf(part, 1) {
+			of = nil // what it stood on is too old for what was lent, too
+		}
+		actions = append(actions, m.in.Handle(now, hollyspur.Fleet{Balancers: r.Agreed, Index: r.Index, Divisor: part, Subset: set, Quotas: of})...)
 	}
+	m.count(at)
 	actions = append(actions, m.listen(now, at)...)
 	if (at >= m.spoke+speakEvery || m.urgent && at >= m.spoke+lookEvery) && len(m.order) > 1 {
 		m.spoke, m.urgent = at, false
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -68,9 +68,18 @@
 	Subset   []string          `json:"subset"` // servers that first attempts are drawn from; null: all, or cut by number
 	Moving   bool              `json:"moving,omitempty"`
 	Aside    []AsideStatus     `json:"aside,omitempty"`
+	Quotas   []QuotaStatus     `json:"quotas,omitempty"`
 	Differ   map[string]string `json:"differ,omitempty"` // members that don't fit, and how
 }
 
+// QuotaStatus is this node's part of a tenant's quota.
+type QuotaStatus struct {
+	Tenant   string  `json:"tenant"`
+	Part     float64 `json:"part"` // 0 to 1, which its module goes by
+	Lent     float64 `json:"lent"` // to others, of the whole
+	Borrowed float64 `json:"borrowed"`
+}
+
 // AsideStatus is a server that is put aside on others' word.
 type AsideStatus struct {
 	Server string   `json:"server"`
@@ -140,6 +149,15 @@
 		for _, v := range h.Verdicts {
 			p.Aside = append(p.Aside, AsideStatus{v.Server, millis(max(0, v.Until-now)), v.By})
 		}
+		parts := f.gates[id].quotas(now)
+		for name, ration := range f.gates[id].rations() {
+			q := QuotaStatus{name, 1 / part, f.loans.Lent(now, ration), f.loans.Borrowed(now, ration)}
+			if x, is := parts.Of[name]; is && p.Standing {
+				q.Part = x
+			}
+			p.Quotas = append(p.Quotas, q)
+		}
+		slices.SortFunc(p.Quotas, func(a, b QuotaStatus) int { return cmp.Compare(a.Tenant, b.Tenant) })
 		if p.Standing {
 			p.UntilMS = millis(min(r.Until-now, 1000*time.Hour))
 		} else if p.Why == "" {
@@ -196,6 +214,9 @@
 		if p.Subset != nil {
 			note += fmt.Sprintf("; draws from %d servers", len(p.Subset))
 		}
+		for _, q := range p.Quotas {
+			note += fmt.Sprintf("; %.3g of %s's quota", q.Part, q.Tenant)
+		}
 		for _, a := range p.Aside {
 			note += fmt.Sprintf("; %s aside for %v by word of %s", a.Server, ago(a.ForMS), strings.Join(a.By, ", "))
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -248,8 +248,7 @@
 			}
 		}
 		if n.fleet != nil {
-			sized := pp.Settings.Sizes == hollyspur.SizesNominal || pp.Settings.Sizes == hollyspur.SizesRough
-			m = n.fleet.Module(pp.Name, sized, m)
+			m = n.fleet.Module(pp.Name, pp.Settings, m)
 		}
 	}
 	var to engine.Sender
--- a/internal/rig/together_test.go
+++ b/internal/rig/together_test.go
@@ -154,3 +154,63 @@
 	load.Wait()
 	judge(t, f)
 }
+
+// TestQuotas has a tenant's traffic come to one of five processes, and then to another: that one has most of the quota, all
+// together never more than the whole, also while links are cut and the borrower dies.
+func TestQuotas(t *testing.T) {
+	t.Parallel()
+	f := start(t, FleetConfig{Members: 5, Servers: 4, Seed: 9, Pool: "tenants = [{ name = \"acme\", quota = 50 }]"})
+	all := []int{0, 1, 2, 3, 4}
+	f.agree(t, true, all...)
+	watching, enough := context.WithCancel(context.Background())
+	var watch sync.WaitGroup
+	var most float64
+	watch.Go(func() { // parts change by steps: a sum over the whole lasts as long as the older of two answers
+		for watching.Err() == nil {
+			sum := 0.0
+			for _, i := range all {
+				if r, err := f.Members[i].Role(); err == nil && len(r.Quotas) == 1 {
+					sum += r.Quotas[0].Part
+				}
+			}
+			most = max(most, sum)
+		}
+	})
+	part := func(i int) float64 {
+		r, err := f.Members[i].Role()
+		if err != nil || len(r.Quotas) != 1 {
+			return 0
+		}
+		return r.Quotas[0].Part
+	}
+	to := func(i int) (stop func()) {
+		ctx, cancel := context.WithCancel(context.Background())
+		var load sync.WaitGroup
+		f.Members[i].Stream(ctx, &load, standin.Stream{Class: Read, Rate: 100, For: time.Hour, Account: "acme"})
+		return func() { cancel(); load.Wait() }
+	}
+	stop := to(1)
+	if !Await(patience, func() bool { return part(1) > 0.85 }) {
+		t.Errorf("the only one with use has %v of the quota", part(1))
+	}
+	stop()
+	stop = to(3)
+	if !Await(patience, func() bool { return part(3) > 0.85 && part(1) < 0.1 }) {
+		t.Errorf("the only one with use has %v of the quota, the one before %v", part(3), part(1))
+	}
+	f.Fabric.Part([]int{3}, []int{0, 1, 2, 4})
+	f.standing(t, 0, 1, 2, 4)
+	if got := part(3); got > 0 {
+		t.Errorf("cut off it has %v of the quota", got)
+	}
+	f.Fabric.Heal()
+	f.agree(t, true, all...)
+	if !Await(patience, func() bool { return part(3) > 0.85 }) {
+		t.Errorf("after the cut it has %v of the quota", part(3))
+	}
+	stop()
+	enough()
+	watch.Wait()
+	t.Logf("all together held %v of the whole at the most, each asked after the other", most)
+	judge(t, f)
+}
