--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -61,6 +61,7 @@
 	{"operators", "an operators' day: servers taken out and restarted, clients sent away, upgrades, a long answer over one of them", 12 * time.Second, operators},
 	{"members", "five processes under load: deaths, stops, cut, one-way, slow and lossy links drawn from the seed; no moment with more than the whole", 20 * time.Second, members},
 	{"deaths", "two of five processes die: what the servers get after it, with and without a view of the fleet", 8 * time.Second, deaths},
+	{"stops", "one of five processes stands still for 1, 10 and 30 s of 41, while a rolling deploy goes on", 41 * time.Second, stops},
 	{"fleet-size", "views of 5, 50 and 300 members in simulated time: how soon deaths are right everywhere, how often the living are accused", 10 * time.Second, fleetSize},
 	{"load", "requests a second, times and CPU of the node on one core; with -vs against another program, in pairs", 20 * time.Second, load},
 }
@@ -80,6 +81,7 @@
 	program string
 	vs      string
 	verbose bool
+	replay  string
 }
 
 func main() {
@@ -101,6 +103,7 @@
 	flags.DurationVar(&o.slack, "slack", 0, "how late an answer or the end of sends may be on a slow machine (70ms)")
 	flags.StringVar(&o.program, "program", "", "the program to start (built from this repository)")
 	flags.StringVar(&o.vs, "vs", "", "of load: another program to measure in turn with it")
+	flags.StringVar(&o.replay, "schedule", "", "of members: play the faults that this file holds, as -json told them")
 	flags.BoolVar(&o.verbose, "v", false, "print the program's log at the end")
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
--- a/cmd/drill/members.go
+++ b/cmd/drill/members.go
@@ -12,7 +12,7 @@
 )
 
 // fleetDrills are those that need several processes.
-var fleetDrills = []string{"members", "deaths", "fleet-size"}
+var fleetDrills = []string{"members", "deaths", "stops", "fleet-size"}
 
 // fleetList lists them.
 func fleetList(_ context.Context, r *rig) error {
@@ -79,6 +79,11 @@
 	}
 	length := max(r.length, 8*time.Second)
 	schedule := rigs.Draw(r.seed, memberCount, len(f.Servers), length)
+	if r.replay != "" {
+		if schedule, err = rigs.ReadSchedule(r.replay, memberCount, len(f.Servers)); err != nil {
+			return err
+		}
+	}
 	if r.plant != "" { // what shows it: two halves, and one that stands still
 		schedule = rigs.Schedule{{At: 0, What: rigs.CutParts, Parts: [][]int{{0, 1}, {2, 3, 4}}, For: 5 * time.Second},
 			{At: 8 * time.Second, What: rigs.StopMembers, Members: []int{3}, For: 4 * time.Second}}
@@ -125,6 +130,77 @@
 	return nil
 }
 
+// stops has one of five stand still for a while, three times, each for longer, while servers are replaced all the time; what
+// it holds and sends in the first moments after each is what it may.
+func stops(ctx context.Context, r *rig) error {
+	f, err := r.fleetOf(rigs.FleetConfig{Members: memberCount, Servers: 20, Pool: "tenants = [{ name = \"acme\", quota = 100 }]"})
+	if err != nil {
+		return err
+	}
+	limit := 20*time.Second + 10*r.slack
+	all := everyone(memberCount)
+	if _, err := f.Agree(limit, true, all...); err != nil {
+		return err
+	}
+	playing, over := context.WithCancel(ctx)
+	defer over()
+	var w *rigs.Watch
+	var load, watch sync.WaitGroup
+	watch.Go(func() { w = f.Watch(playing, 25*time.Millisecond) })
+	for _, m := range f.Members {
+		l := rigs.Traffic(60, time.Hour)
+		l[0].Account = "acme"
+		m.Stream(playing, &load, l...)
+	}
+	load.Go(func() { // a rolling deploy that goes on: most servers are cold
+		for i := 0; playing.Err() == nil; i++ {
+			s := f.Servers[i%len(f.Servers)]
+			f.Registry.Set(s, "DRAINING")
+			select {
+			case <-time.After(300 * time.Millisecond):
+			case <-playing.Done():
+				return
+			}
+			s.Crash()
+			if s.Restart() == nil {
+				f.Registry.Set(s, "SERVING")
+			}
+		}
+	})
+	for i, share := range []float64{1.0 / 41, 10.0 / 41, 30.0 / 41} {
+		long := time.Duration(share * float64(r.length))
+		m := f.Members[(2*i+1)%memberCount]
+		m.Pause()
+		select {
+		case <-time.After(long):
+		case <-ctx.Done():
+		}
+		m.Resume()
+		held, first := 0.0, time.Now()
+		for time.Since(first) < 100*time.Millisecond {
+			if role, err := m.Role(); err == nil {
+				held = max(held, role.Of100/100)
+			}
+		}
+		r.figure(fmt.Sprintf("held_after_%d", i+1), held, fmt.Sprintf("of a ration, in the first 100 ms after %v", long.Round(time.Millisecond)))
+		if long > 2*f.Lease && held > 0 {
+			r.failf("%v of a ration was held just after a stop of %v", held, long)
+		}
+		if _, err := f.Agree(limit, true, all...); err != nil {
+			r.failf("after a stop of %v: %v", long, err)
+		}
+	}
+	over()
+	load.Wait()
+	watch.Wait()
+	r.figure("most_held", w.Most, "of the whole, by all together at one moment")
+	r.figure("samples", w.Samples, "of what all members held")
+	if w.Over > 0 {
+		r.failf("more than the whole was taken: %s", w.Detail)
+	}
+	return nil
+}
+
 // deaths kills two of five and measures what the servers get after that, with the members' view and as it was without.
 func deaths(ctx context.Context, r *rig) error {
 	length := max(r.length, 6*time.Second)
--- a/internal/rig/schedule.go
+++ b/internal/rig/schedule.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"time"
 )
@@ -152,3 +153,25 @@
 	}
 	return func() error { return fmt.Errorf("no fault %q", x.What) }, nil
 }
+
+// ReadSchedule reads a schedule from a file, for a fleet of so many members and servers.
+func ReadSchedule(path string, members, servers int) (s Schedule, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(text, &s); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for i, x := range s {
+		all := x.Members
+		for _, p := range x.Parts {
+			all = append(slices.Clone(all), p...)
+		}
+		if x.Server < 0 || x.Server >= servers || slices.ContainsFunc(all, func(m int) bool { return m < 0 || m >= members }) ||
+			x.What == AllLinks && x.Link == nil || x.What == BreakOneWay && len(x.Members) == 0 {
+			return nil, fmt.Errorf("%s: fault %d is of no member or server that there is", path, i)
+		}
+	}
+	return s, nil
+}
