A successor of an upgrade takes its predecessor's place in the fleet; faults of [fleet] by line; the commands tried

Change: an address that is in use is tried again every 100 ms, not at waits that grow to 30 s: after an upgrade's hand-over the node was missed by the others meanwhile (its place moved twice at each). TestUpgradeOfMember, TestFleetFaults. Measured: TestUpgradeOfMember: no place moves, no request fails over the upgrade; the commands answer as docs/fleet.md says.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -287,6 +287,7 @@
 const (
 	retryFirst = 500 * time.Millisecond
 	retryMost  = 30 * time.Second
+	openAgain  = 100 * time.Millisecond
 )
 
 // again opens the gossip if that failed, and looks for members that are not seen: two halves of a fleet that have
@@ -312,6 +313,9 @@
 	}
 	f.retry = min(retryMost, max(retryFirst, 2*f.retry))
 	f.retryAt = now + f.retry/2 + rand.N(f.retry)
+	if f.list == nil { // whoever has the address is about to give it up: a predecessor, or a process that has just died
+		f.retry, f.retryAt = 0, now+openAgain
+	}
 	f.dialing = true
 	l := f.list
 	f.done.Go(func() {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -145,6 +145,42 @@
 	}
 }
 
+// Every fault of [fleet] is told with its key.
+func TestFleetFaults(t *testing.T) {
+	const fine = "name = \"n1\"\nnodes = 3\n[fleet]\nlisten = \"127.0.0.1:7946\"\n"
+	for text, key := range map[string]string{
+		fine + "join = [\"nowhere\"]":                                 "fleet.join[0]",
+		fine + "key = \"short\"":                                      "fleet.key",
+		fine + "lease = \"10ms\"":                                     "fleet.lease",
+		fine + "settle = \"1h\"":                                      "fleet.settle",
+		fine + "probe = \"1ms\"":                                      "fleet.probe",
+		fine + "advertise = \"0.0.0.0:7946\"":                         "fleet.advertise",
+		fine + "zone = \"" + strings.Repeat("z", 40) + "\"":           "fleet.zone",
+		fine + "colour = 1":                                           "fleet.colour",
+		strings.Replace(fine, "nodes = 3", "", 1):                     "fleet.listen",
+		strings.Replace(fine, "name = \"n1\"", "", 1):                 "fleet.listen",
+		strings.Replace(fine, "\"n1\"", "\"n 1\"", 1):                 "name",
+		strings.Replace(fine, "127.0.0.1:7946", "here:7946", 1):       "fleet.listen",
+		strings.Replace(fine, "nodes = 3", "nodes = 3\nindex = 1", 1): "index",
+		fine: "",
+	} {
+		_, rest, _ := strings.Cut(good, "index = 2")
+		rest, _, _ = strings.Cut(rest, "[[routes]]")
+		top, table, _ := strings.Cut(text, "[fleet]")
+		_, err := Parse("f", []byte(top+"listen = [\"127.0.0.1:0\"]\ndefault = \"a\"\n[fleet]"+table+rest))
+		var faults Faults
+		if key == "" {
+			if err != nil {
+				t.Error(err)
+			}
+			continue
+		}
+		if !errors.As(err, &faults) || !slices.ContainsFunc(faults, func(f Fault) bool { return f.Key == key && (f.Line > 0 || key == "name") }) {
+			t.Errorf("%q: no fault of %s: %v", text, key, err)
+		}
+	}
+}
+
 func TestNoFile(t *testing.T) {
 	if _, err := Load(filepath.Join(t.TempDir(), "none.toml")); err == nil || !strings.Contains(err.Error(), "none.toml") {
 		t.Errorf("%v", err)
--- a/internal/rig/faults_test.go
+++ b/internal/rig/faults_test.go
@@ -305,3 +305,44 @@
 func (stranger) GetBroadcasts(int, int) [][]byte { return nil }
 func (stranger) LocalState(bool) []byte          { return nil }
 func (stranger) MergeRemoteState([]byte, bool)   {}
+
+// TestUpgradeOfMember: a successor takes its predecessor's place, and nobody else's moves. Operators see it all.
+func TestUpgradeOfMember(t *testing.T) {
+	t.Parallel()
+	f := start(t, FleetConfig{Members: 3, Servers: 2, Seed: 10, Top: "operator = \"127.0.0.1:0\"\nstate = \"{state}\""})
+	f.agree(t, true, 0, 1, 2)
+	ctx, stop := context.WithCancel(context.Background())
+	var load sync.WaitGroup
+	f.Members[1].Stream(ctx, &load, Traffic(60, time.Hour)...)
+	before := f.moves(t, "n1", 0, 2)
+	if err := f.Members[1].Upgrade(); err != nil {
+		t.Fatal(err)
+	}
+	f.agree(t, true, 0, 1, 2)
+	if now := f.moves(t, "n1", 0, 2) - before; now > 0 {
+		t.Errorf("its place moved %d times", now)
+	}
+	stop()
+	load.Wait()
+	if v := judge(t, f); v.Served < 20 || v.Failed > 0 {
+		t.Errorf("%+v", v)
+	}
+	text, err := f.Members[0].Ask("fleet")
+	if err != nil || !strings.Contains(text, "3 names") || !strings.Contains(text, "3 of 2") {
+		t.Errorf("%v: %s", err, text)
+	}
+	if text, err := f.Members[0].Ask("fleet", "forget", "nobody"); err == nil || !strings.Contains(text, "no such member") {
+		t.Errorf("%v: %s", err, text)
+	}
+	f.Members[2].Kill()
+	f.agree(t, true, 0, 1)
+	if text, err := f.Members[0].Ask("fleet", "forget", "n2"); err != nil || !strings.Contains(text, "off the roll") {
+		t.Errorf("%v: %s", err, text)
+	}
+	if !Await(patience, func() bool {
+		text, err := f.Members[1].Ask("fleet", "-json")
+		return err == nil && strings.Contains(text, `"gone": true`)
+	}) {
+		t.Error("the others do not hear of it")
+	}
+}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -15,6 +16,7 @@
 	"time"
 
 	"hollyspur/internal/fleet"
+	"hollyspur/internal/opsport"
 	"hollyspur/internal/standin"
 )
 
@@ -30,7 +32,7 @@
 	Slack   time.Duration // see audit.Options
 	Key     string        // of the gossip, in base64; "": none
 	Alone   bool          // no [fleet]: count and place stand in the files, as they did
-	Top     string        // more for the top of each file
+	Top     string        // more for the top of each file; {state} is the member's directory
 	Pool    string        // more for the pool
 }
 
@@ -147,7 +149,7 @@
 func (m *Member) file() string {
 	f := m.fleet
 	var b strings.Builder
-	fmt.Fprintf(&b, "name = %q\nlisten = [%q]\nadmin = \"127.0.0.1:0\"\ndefault = \"app\"\nlimits = { cores = 1 }\nnodes = %d\n%s\n", m.Name, m.addr, f.Nodes, f.Top)
+	fmt.Fprintf(&b, "name = %q\nlisten = [%q]\nadmin = \"127.0.0.1:0\"\ndefault = \"app\"\nlimits = { cores = 1 }\nnodes = %d\n%s\n", m.Name, m.addr, f.Nodes, strings.ReplaceAll(f.Top, "{state}", m.State()))
 	if f.Alone {
 		fmt.Fprintf(&b, "index = %d\n", m.I%f.Nodes)
 	} else {
@@ -193,6 +195,39 @@
 	return nil
 }
 
+// Upgrade starts a successor beside the running process, and ends that once the new one has taken over.
+func (m *Member) Upgrade() error {
+	old := m.P
+	if err := m.Start(); err != nil {
+		return err
+	}
+	addr, err := m.P.Said("operators call on ")
+	if err != nil {
+		return err
+	}
+	if !Await(10*time.Second, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		yes, _, err := opsport.Ask(ctx, addr, opsport.Call{Verb: opsport.Check})
+		return yes && err == nil
+	}) {
+		return errors.New("the successor does not say yes")
+	}
+	old.Stop()
+	return nil
+}
+
+// Ask runs a command of the program about this member, with a file that names where it can be asked.
+func (m *Member) Ask(args ...string) (string, error) {
+	path := filepath.Join(m.State(), "ask.toml")
+	text := strings.Replace(m.file(), `admin = "127.0.0.1:0"`, fmt.Sprintf("admin = %q", m.admin), 1)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return "", err
+	}
+	out, err := exec.Command(m.fleet.Program, append(args, "-config", path)...).CombinedOutput()
+	return string(out), err
+}
+
 // Lives says that its process runs or is stopped.
 func (m *Member) Lives() bool {
 	m.fleet.mu.Lock()
