A broken way to one server and a lying member put nobody else off it, shown with six processes

Change: TestOneWay: one member's list leads to a server over a relay that loses every answer, and one member built with a plant tells of three servers that they fail.

--- a/internal/fleet/module.go
+++ b/internal/fleet/module.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -141,6 +142,15 @@
 	return actions
 }
 
+// lie is what a member tells that is planted to: that a few servers fail, the same all the time.
+func (m *Module) lie() signal.Digest {
+	d := signal.Digest{Pool: m.gate.pool, Seq: uint32(m.spoke / time.Millisecond), Draws: math.MaxUint16}
+	for _, id := range slices.Sorted(maps.Keys(m.listed))[:min(len(m.listed), 3)] {
+		d.Facts = append(d.Facts, signal.Fact{Server: signal.ID(id), Boot: signal.BootByte(m.listed[id].Boot), Bad: 9, Streak: 9})
+	}
+	return d
+}
+
 // list keeps what is listed.
 func (m *Module) list(x hollyspur.ServerList) {
 	if x.Full {
@@ -181,7 +191,10 @@
 	actions = append(actions, m.listen(now, at)...)
 	if (at >= m.spoke+speakEvery || m.urgent && at >= m.spoke+lookEvery) && len(m.order) > 1 {
 		m.spoke, m.urgent = at, false
-		if d, is := m.book.Digest(at); is {
+		if d, is := m.book.Digest(at); is || plantLiar {
+			if plantLiar {
+				d = m.lie()
+			}
 			m.gate.speak(d, m.beside)
 		}
 	}
--- /dev/null
+++ b/internal/fleet/plant_liar.go
@@ -0,0 +1,9 @@
+//go:build plant_liar && !plant_seen && !plant_stalled
+
+package fleet
+
+const (
+	plantSeen    = false
+	plantStalled = false
+	plantLiar    = true
+)
--- a/internal/fleet/plant_none.go
+++ b/internal/fleet/plant_none.go
@@ -1,4 +1,4 @@
-//go:build !plant_seen && !plant_stalled
+//go:build !plant_seen && !plant_stalled && !plant_liar
 
 package fleet
 
@@ -6,4 +6,5 @@
 const (
 	plantSeen    = false // rations are divided by what is seen at once
 	plantStalled = false // a part is taken however old what it stands on
+	plantLiar    = false // this member tells the others that all servers but one fail
 )
--- a/internal/fleet/plant_seen.go
+++ b/internal/fleet/plant_seen.go
@@ -5,4 +5,5 @@
 const (
 	plantSeen    = true
 	plantStalled = false
+	plantLiar    = false
 )
--- a/internal/fleet/plant_stalled.go
+++ b/internal/fleet/plant_stalled.go
@@ -5,4 +5,5 @@
 const (
 	plantSeen    = false
 	plantStalled = true
+	plantLiar    = false
 )
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -58,6 +58,9 @@
 	P       *Process // nil: it was never started
 	Callers *standin.Callers
 
+	Program  string            // another than the fleet's; "": that
+	Registry *standin.Registry // another than the fleet's; nil: that
+
 	fleet  *Fleet
 	addr   string // where callers come, the same after a restart
 	admin  string
@@ -164,7 +167,11 @@
 		fmt.Fprintf(&b, "listen = %q\nadvertise = %q\njoin = [%s]\nlease = %q\nsettle = \"500ms\"\nprobe = \"200ms\"\n",
 			f.Fabric.Own(m.I), f.Fabric.Seen(m.I), strings.Join(join, ", "), f.Lease)
 	}
-	b.WriteString(PoolText("app", fmt.Sprintf("registry = %q", f.Registry.Addr()), f.Pool))
+	registry := f.Registry
+	if m.Registry != nil {
+		registry = m.Registry
+	}
+	b.WriteString(PoolText("app", fmt.Sprintf("registry = %q", registry.Addr()), f.Pool))
 	return b.String()
 }
 
@@ -175,7 +182,11 @@
 	if err := os.WriteFile(config, []byte(m.file()), 0o600); err != nil {
 		return err
 	}
-	p, err := Start(f.Program, config)
+	program := f.Program
+	if m.Program != "" {
+		program = m.Program
+	}
+	p, err := Start(program, config)
 	if err != nil {
 		return fmt.Errorf("%s: %w", m.Name, err)
 	}
--- a/internal/rig/together_test.go
+++ b/internal/rig/together_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"hollyspur/internal/audit"
 	"hollyspur/internal/fleet"
 	"hollyspur/internal/fleet/subset"
 	"hollyspur/internal/standin"
@@ -214,3 +216,75 @@
 	t.Logf("all together held %v of the whole at the most, each asked after the other", most)
 	judge(t, f)
 }
+
+// TestOneWay: a member whose own way to a server is broken, and one that lies about others, put nobody else off them.
+func TestOneWay(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	liar, err := Build(dir, "plant_liar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := start(t, FleetConfig{Room: 6, Nodes: 6, Servers: 6, Seed: 11})
+	f.FleetConfig.Members = 2
+	// Member 0 has a list of its own, in which a relay stands before one server and loses every answer.
+	broken := f.Servers[5]
+	relay, err := standin.NewRelay(broken.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(relay.Close)
+	relay.Lose(1 << 40)
+	own, err := standin.NewRegistry(Host, f.Rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(own.Close)
+	for _, s := range f.Servers {
+		addr := s.Addr()
+		if s == broken {
+			addr = relay.Addr()
+		}
+		own.SetAt(s, "SERVING", addr)
+	}
+	f.Members[0].Registry, f.Members[5].Program = own, liar
+	all := []int{0, 1, 2, 3, 4, 5}
+	for _, i := range all {
+		if err := f.Members[i].Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.agree(t, true, all...)
+	ctx, stop := context.WithCancel(context.Background())
+	var load sync.WaitGroup
+	for _, m := range f.Members {
+		m.Stream(ctx, &load, standin.Stream{Class: Read, Rate: 60, For: time.Hour})
+	}
+	from := f.Rec.Now()
+	counts := func() (n map[string]int, total int) {
+		n = map[string]int{}
+		for _, a := range f.Rec.View().Arrivals {
+			if a.First > from && a.Ran {
+				n[a.Server]++
+				total++
+			}
+		}
+		return n, total
+	}
+	if !Await(patience, func() bool { _, total := counts(); return total > 3000 }) {
+		t.Fatal("little is served")
+	}
+	stop()
+	load.Wait()
+	n, total := counts()
+	for _, s := range f.Servers {
+		if share := float64(n[s.ID()]) * float64(len(f.Servers)) / float64(total); share < 0.4 {
+			t.Errorf("%s gets %.2f of the mean: %v", s.ID(), share, n)
+		}
+	}
+	t.Logf("%v of %d", n, total)
+	v := audit.Judge(f.Rec.View(), audit.Options{Slack: f.Slack})
+	if !v.Clean() || v.Served < 2500 {
+		t.Errorf("%+v\n%s", v, strings.Join(v.Details, "\n"))
+	}
+}
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -85,14 +85,17 @@
 func (g *Registry) Close() { g.Down() }
 
 // Set lists a server as it is now; state is SERVING, DRAINING or DELETED.
-func (g *Registry) Set(s *Server, state string) {
+func (g *Registry) Set(s *Server, state string) { g.SetAt(s, state, s.listed()) }
+
+// SetAt is Set with another address: of the way that this registry's callers have to the server.
+func (g *Registry) SetAt(s *Server, state, addr string) {
 	boot, ms := s.Boot()
 	cfg := s.Config()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rev++
 	e := &entry{rev: g.rev, boot: boot}
-	e.JSON.UID, e.JSON.Endpoint, e.JSON.Zone, e.JSON.Model, e.JSON.Cell = cfg.ID, s.listed(), cfg.Zone, "m", cfg.Cell
+	e.JSON.UID, e.JSON.Endpoint, e.JSON.Zone, e.JSON.Model, e.JSON.Cell = cfg.ID, addr, cfg.Zone, "m", cfg.Cell
 	e.JSON.State, e.JSON.Size, e.JSON.BootMS = state, 1, ms
 	g.entries[cfg.ID] = e
 	close(g.changed)
--- a/policy.go
+++ b/policy.go
@@ -66,8 +66,9 @@
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
 		servers: map[string]*server{}, requests: map[string]*request{},
-		classes: map[string]*class{}, quotas: map[string]*quota{}, divisor: float64(max(1, set.Balancers)), errors: 0.02, tokens: retryPurse / 2,
-		fill: aimFill / 2, bare: math.Log(aimFill / 2), pace: math.Log(aimFill / 2)}
+		classes: map[string]*class{}, quotas: map[string]*quota{}, errors: 0.02, tokens: retryPurse / 2,
+		divisor: float64(max(1, set.Balancers)),
+		fill:    aimFill / 2, bare: math.Log(aimFill / 2), pace: math.Log(aimFill / 2)}
 	longest := set.Classes[0]
 	for _, c := range set.Classes {
 		b.addClass(c)
@@ -212,8 +213,8 @@
 	b.release()
 }
 
-// resize fits the window and the subset to what this copy's part of the servers was and is: what a server takes has
-// not changed with their number.
+// resize fits the window and the subset to what this copy's part of the servers was and is: what a server
+// takes has not changed with their number.
 func (b *Balancer) resize(before, after float64) {
 	if before > 0 && after > 0 {
 		b.window *= after / before
