drill signals: sick servers, faults on members and one liar; a plant that believes without bounds is found

Change: drill signals on six processes, one of which is built to tell all others that three healthy servers fail; -plant gullible takes the bounds on words away. TestLarge: 300 nodes before 300 servers in simulated time.

--- a/cmd/drill/drill_test.go
+++ b/cmd/drill/drill_test.go
@@ -113,6 +113,15 @@
 	}
 }
 
+// A fleet that believes one member's words without bounds is found to leave healthy servers unused.
+func TestPlantOfSignals(t *testing.T) {
+	t.Parallel()
+	got, code := drill(t, "-plant", "gullible", "signals")
+	if share, _ := got["named_share"].(float64); code != 1 || share >= 0.6 {
+		t.Errorf("exit %d, %v", code, got)
+	}
+}
+
 func TestUsage(t *testing.T) {
 	for _, args := range [][]string{{}, {"nothing"}, {"-plant", "weeds", "tour"}, {"-colour", "tour"}, {"tour", "pools"}} {
 		var stdout, stderr bytes.Buffer
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -62,6 +62,7 @@
 	{"members", "five processes under load: deaths, stops, cut, one-way, slow and lossy links drawn from the seed; no moment with more than the whole", 20 * time.Second, members},
 	{"deaths", "two of five processes die: what the servers get after it, with and without a view of the fleet", 8 * time.Second, deaths},
 	{"stops", "one of five processes stands still for 1, 10 and 30 s of 41, while a rolling deploy goes on", 41 * time.Second, stops},
+	{"signals", "six processes: servers that fail, hang and refuse while members die, stand still and lose links, and one member lies", 20 * time.Second, signals},
 	{"fleet-size", "views of 5, 50 and 300 members in simulated time: how soon deaths are right everywhere, how often the living are accused", 10 * time.Second, fleetSize},
 	{"load", "requests a second, times and CPU of the node on one core; with -vs against another program, in pairs", 20 * time.Second, load},
 }
--- a/cmd/drill/members.go
+++ b/cmd/drill/members.go
@@ -9,10 +9,11 @@
 	"time"
 
 	rigs "hollyspur/internal/rig"
+	"hollyspur/internal/standin"
 )
 
 // fleetDrills are those that need several processes.
-var fleetDrills = []string{"members", "deaths", "stops", "fleet-size"}
+var fleetDrills = []string{"members", "deaths", "stops", "signals", "fleet-size"}
 
 // fleetList lists them.
 func fleetList(_ context.Context, r *rig) error {
@@ -29,7 +30,7 @@
 }
 
 // planted are the breaches that are built into the program.
-var planted = map[string]string{"seen": "plant_seen", "stalled": "plant_stalled"}
+var planted = map[string]string{"seen": "plant_seen", "stalled": "plant_stalled", "gullible": "plant_gullible"}
 
 // plantedInProgram is what drills without a fleet do with such a breach.
 func plantedInProgram(context.Context, *rig) error {
@@ -201,6 +202,108 @@
 	return nil
 }
 
+// signals has servers of a fleet fail, hang and refuse, one after the other as the seed says, while members die, stand still
+// and lose links, and one member tells all the others that three healthy servers fail.
+func signals(ctx context.Context, r *rig) error {
+	const count, servers = 6, 12
+	liar, err := rigs.Build(r.dir, "plant_liar")
+	if err != nil {
+		return err
+	}
+	program := r.program
+	if tag := planted[r.plant]; tag != "" {
+		if program, err = rigs.Build(r.dir, tag); err != nil {
+			return err
+		}
+	}
+	f, err := rigs.NewFleet(rigs.FleetConfig{Program: program, Members: count, Servers: servers, Seed: r.seed, Slack: r.slack})
+	if err != nil {
+		return err
+	}
+	r.fleet, r.rec = f, f.Rec
+	f.Members[count-1].Program = liar
+	if err := f.StartAll(count); err != nil {
+		return err
+	}
+	limit := 20*time.Second + 10*r.slack
+	if _, err := f.Agree(limit, true, everyone(count)...); err != nil {
+		return err
+	}
+	length := max(r.length, 8*time.Second)
+	playing, over := context.WithCancel(ctx)
+	defer over()
+	var load sync.WaitGroup
+	for _, m := range f.Members {
+		m.Stream(playing, &load, rigs.Traffic(60, length)...)
+	}
+	begin := f.Rec.Now()
+	// One server at a time is sick, none of the three that the liar names.
+	type illness struct {
+		server   *standin.Server
+		from, to time.Duration
+	}
+	var ill []illness
+	load.Go(func() {
+		for playing.Err() == nil && f.Rec.Now() < begin+length*7/10 {
+			s := f.Servers[3+r.rng.IntN(servers-3)]
+			s.SetMode([]standin.Mode{standin.Failing, standin.Hanging, standin.Refusing}[r.rng.IntN(3)])
+			x := illness{server: s, from: f.Rec.Now()}
+			select {
+			case <-time.After(length/8 + time.Duration(r.rng.Int64N(int64(length/8)))):
+			case <-playing.Done():
+			}
+			s.SetMode(standin.Serving)
+			x.to = f.Rec.Now()
+			ill = append(ill, x)
+		}
+	})
+	var schedule rigs.Schedule
+	for _, x := range rigs.Draw(r.seed, count-1, servers, length) { // the liar lives
+		if x.What != rigs.RollServers {
+			schedule = append(schedule, x)
+		}
+	}
+	if r.plant != "" {
+		schedule = nil
+	}
+	if err := f.Play(ctx, schedule, func(string) {}); err != nil {
+		return err
+	}
+	load.Wait()
+	if _, err := f.Agree(limit, true, everyone(count)...); err != nil {
+		r.failf("after all is undone: %v", err)
+	}
+	v := f.Rec.View()
+	paid, well := 0, 0
+	named := map[string]int{}
+	for _, a := range v.Arrivals {
+		sick := false
+		for _, x := range ill {
+			sick = sick || a.Server == x.server.ID() && a.First >= x.from && a.First < x.to
+		}
+		switch {
+		case sick:
+			paid++
+		default:
+			well++
+			named[a.Server]++
+		}
+	}
+	share := math.Inf(1) // the module keeps out a fifth of the list at the most, whatever it is told: two of the three
+	for _, s := range f.Servers[:3] {
+		share = min(share, float64(named[s.ID()])/(float64(well)/servers))
+	}
+	r.figure("illnesses", len(ill), "of servers, one at a time")
+	r.figure("paid", paid, "attempts at servers while these were sick")
+	r.figure("paid_each", float64(paid)/float64(max(1, len(ill))), "the same for each")
+	r.figure("named_share", share, "of the mean: the least that a server got of the three that one member told all others were failing")
+	if share < 0.6 {
+		r.failf("a server that is well got %.2f of the mean, on one member's word", share)
+	}
+	r.schedule = schedule.String()
+	return nil
+}
+
 // deaths kills two of five and measures what the servers get after that, with the members' view and as it was without.
 func deaths(ctx context.Context, r *rig) error {
 	length := max(r.length, 6*time.Second)
--- a/cmd/drill/plant.go
+++ b/cmd/drill/plant.go
@@ -18,7 +18,7 @@
 // that does not find it is at fault.
 var plants = map[string]func(context.Context, *rig) error{
 	"lost": plantLost, "twice": plantTwice, "drain": plantDrain, "cold": plantCold, "ban": plantBan,
-	"seen": plantedInProgram, "stalled": plantedInProgram,
+	"seen": plantedInProgram, "stalled": plantedInProgram, "gullible": plantedInProgram,
 }
 
 func plantNames() (l []string) {
--- a/internal/fleet/emulated_test.go
+++ b/internal/fleet/emulated_test.go
@@ -78,7 +78,9 @@
 		if err != nil || tier > 0 {
 			panic(fmt.Sprint(err, tier))
 		}
-		return NewModule(b, f.gates[index], f.names[index], set, func() time.Duration { return f.w.Now() + time.Hour })
+		m := NewModule(b, f.gates[index], f.names[index], set, func() time.Duration { return f.w.Now() + time.Hour })
+		m.most = math.MaxInt // or the course would hang on the machine's own time
+		return m
 	}
 }
 
@@ -167,6 +169,31 @@
 	}
 }
 
+// TestLarge is 300 nodes before 300 servers, of which one in eight fails from second 5 on, with thin traffic.
+func TestLarge(t *testing.T) {
+	if testing.Short() || raceEnabled {
+		t.Skip("a fleet of 300 takes half a minute")
+	}
+	var sick []int
+	for i := 0; i < 300; i += 8 {
+		sick = append(sick, i)
+	}
+	for _, size := range [][2]int{{50, 60}, {300, 300}} {
+		var bad []int
+		for _, i := range sick {
+			if i < size[1] {
+				bad = append(bad, i)
+			}
+		}
+		before, after := play(t, size[0], size[1], bad, 1, false, nil), play(t, size[0], size[1], bad, 1, true, nil)
+		t.Logf("%d nodes, %d servers, %d of them failing: %.0f failed calls in 20 s without others' words, %.0f with; served %.3f and %.3f; least and most of the others' mean %.2f to %.2f and %.2f to %.2f; %d bytes told",
+			size[0], size[1], len(bad), before.failed, after.failed, before.served, after.served, before.least, before.most, after.least, after.most, after.told)
+		if after.failed > before.failed || after.served < before.served-0.02 {
+			t.Errorf("%+v without, %+v with", before, after)
+		}
+	}
+}
+
 // TestLiars: whatever one member tells, hardly less is served, and no healthy server is kept out.
 func TestLiars(t *testing.T) {
 	const n, servers = 10, 20
--- a/internal/fleet/module.go
+++ b/internal/fleet/module.go
@@ -37,6 +37,7 @@
 	order  []string                 // of members, that it was shared out to
 	plan   chan plan                // of a sharing that is under way; nil: none is
 	owners map[string][]uint64      // of each server: members that draw from it, as of the last sharing
+	most   int                      // pairs of members and servers that are shared out on the engine's goroutine
 	mover  *subset.Mover
 	book   *signal.Book
 	beside []string // members that draw from any server that this one does
@@ -107,9 +108,11 @@
 		}
 	}
 	g.ration(uses)
+	book := signal.NewBook(g.pool, id)
+	book.Gullible = plantGullible
 	sized := s.Sizes == hollyspur.SizesNominal || s.Sizes == hollyspur.SizesRough
 	return &Module{uses: uses, in: in, gate: g, now: now, sized: sized, me: id, listed: map[string]hollyspur.Server{}, boots: map[string]time.Duration{},
-		mover: subset.NewMover(moveEvery), book: signal.NewBook(g.pool, id), looked: math.MinInt64, quotas: &Parts{}}
+		most: atOnce, mover: subset.NewMover(moveEvery), book: book, looked: math.MinInt64, quotas: &Parts{}}
 }
 
 // Handle passes an event on, after what has changed.
@@ -220,7 +223,7 @@
 		m.take(plan{})
 		return
 	}
-	if len(order)*len(servers) <= atOnce {
+	if len(order)*len(servers) <= m.most {
 		m.take(share(order, me, servers, sized))
 		return
 	}
--- a/internal/fleet/plant_liar.go
+++ b/internal/fleet/plant_liar.go
@@ -3,7 +3,8 @@
 package fleet
 
 const (
-	plantSeen    = false
-	plantStalled = false
-	plantLiar    = true
+	plantSeen     = false
+	plantStalled  = false
+	plantLiar     = true
+	plantGullible = false
 )
--- a/internal/fleet/plant_seen.go
+++ b/internal/fleet/plant_seen.go
@@ -3,7 +3,8 @@
 package fleet
 
 const (
-	plantSeen    = true
-	plantStalled = false
-	plantLiar    = false
+	plantSeen     = true
+	plantStalled  = false
+	plantLiar     = false
+	plantGullible = false
 )
--- a/internal/fleet/plant_stalled.go
+++ b/internal/fleet/plant_stalled.go
@@ -3,7 +3,8 @@
 package fleet
 
 const (
-	plantSeen    = false
-	plantStalled = true
-	plantLiar    = false
+	plantSeen     = false
+	plantStalled  = true
+	plantLiar     = false
+	plantGullible = false
 )
--- /dev/null
+++ b/internal/fleet/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package fleet
+
+const raceEnabled = true
--- a/internal/fleet/signal/signal.go
+++ b/internal/fleet/signal/signal.go
@@ -142,6 +142,9 @@
 	draws   int
 	seq     uint32
 	doubts  map[[2]uint64]time.Duration // of a member and a server, until when
+
+	// Gullible takes the bounds on what words may do away: a breach for drills to plant.
+	Gullible bool
 }
 
 // other is a member's last digest.
@@ -327,7 +330,7 @@
 		at := o.at - time.Duration(f.Age)*100*time.Millisecond
 		switch {
 		case now-at > fresh:
-		case accuses(f) && believed[o] && b.doubts[[2]uint64{o.name, uint64(s.id)}] == 0:
+		case accuses(f) && believed[o] && (b.Gullible || b.doubts[[2]uint64{o.name, uint64(s.id)}] == 0):
 			by = append(by, from)
 			bad += min(int(f.Streak), run)
 			latest = max(latest, at)
@@ -350,7 +353,7 @@
 	believed := map[*other]bool{}
 	spoken := map[*server]bool{}
 	for _, o := range b.others {
-		if believed[o] = o.believed(); now-o.at > fresh {
+		if believed[o] = o.believed() || b.Gullible; now-o.at > fresh {
 			continue
 		}
 		for _, f := range o.facts {
@@ -363,8 +366,10 @@
 		by, bad, latest, well := b.weigh(now, s, believed)
 		own := s.streak == 0 && s.lastGood > latest
 		switch {
-		case own || well && s.streak == 0:
+		case (own || well && s.streak == 0) && !b.Gullible:
 			s.until = min(s.until, now)
+		case b.Gullible && len(by) > 0:
+			s.until, s.by = now+longest, by
 		case now < s.until || len(by) == 0 || bad+min(s.streak, run) < run || latest <= s.evidence:
 			// Nothing new; and what comes while it is put aside is not of a try that was due.
 		case len(by) == 1 && s.alone >= single && s.last <= s.until:
@@ -396,6 +401,6 @@
 		if len(v.By) == 1 {
 			alone++
 		}
-		return len(v.By) == 1 && alone > most
+		return len(v.By) == 1 && alone > most && !b.Gullible
 	})
 }
