--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -215,6 +215,9 @@
 	f.share = share
 	for pool, g := range f.gates {
 		r := f.role(now, pool, share)
+		if was := g.role.Load(); plantStalled && was != nil && was.Until > 0 && !r.Standing(now) {
+			r = was
+		}
 		g.role.Store(r)
 		own := 0.0
 		if r.Standing(now) {
