--- a/internal/rig/faults_test.go
+++ b/internal/rig/faults_test.go
@@ -17,6 +17,8 @@
 
 	"hollyspur/internal/fleet"
 	"hollyspur/internal/fleet/membership"
+	"hollyspur/internal/opsport"
+	"hollyspur/internal/standin"
 )
 
 // moves is how often a member's place moved at others, as they tell of it.
@@ -346,3 +348,72 @@
 		t.Error("the others do not hear of it")
 	}
 }
+
+// TestStates starts a member again with its state, with an older copy, with a torn one, with none and with another's: it
+// starts each time, takes its place, and has the orders that its state holds.
+func TestStates(t *testing.T) {
+	t.Parallel()
+	f := start(t, FleetConfig{Members: 3, Servers: 4, Seed: 13, Top: "operator = \"127.0.0.1:0\"\nstate = \"{state}\""})
+	f.agree(t, true, 0, 1, 2)
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	order := func(m *Member, verb opsport.Verb, id string) {
+		t.Helper()
+		addr, err := m.P.Said("operators call on ")
+		must(err)
+		if !Await(patience, func() bool { // its list may not have come yet
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			yes, _, err := opsport.Ask(ctx, addr, opsport.Call{Verb: verb, ID: id})
+			return yes && err == nil
+		}) {
+			t.Fatalf("%s %s is refused", verb, id)
+		}
+	}
+	m := f.Members[1]
+	m.Kill()
+	must(m.Keep("before"))
+	must(m.Start())
+	order(m, opsport.SetDown, "s-00")
+	f.Members[2].Kill()
+	must(f.Members[2].Keep("another's"))
+	must(f.Members[2].Start())
+	for _, c := range []struct {
+		name string
+		do   func() error
+		out  bool
+	}{
+		{"its own", func() error { return nil }, true},
+		{"an older copy", func() error { return m.Restore("before") }, false},
+		{"its own once more", func() error { return m.Restore("after") }, true},
+		{"a torn one", m.Tear, false},
+		{"another's", func() error { return m.Restore("another's") }, false},
+		{"none", m.Empty, false},
+	} {
+		m.Kill()
+		if c.name == "its own" {
+			must(m.Keep("after"))
+		}
+		must(c.do())
+		must(m.Start())
+		f.agree(t, true, 0, 1, 2)
+		from := f.Rec.Now()
+		for range 60 {
+			m.Callers.Do(standin.Stream{Host: Host, Class: Read})
+		}
+		n := 0
+		for _, a := range f.Rec.View().Arrivals {
+			if a.First > from && a.Server == "s-00" {
+				n++
+			}
+		}
+		if c.out != (n == 0) {
+			t.Errorf("with %s the server that was taken out got %d of 60", c.name, n)
+		}
+	}
+	judge(t, f)
+}
