Read over: a quota of nothing as before fleets, one publish a round, and a stop that waits for the leave

Cause, from reading the change: quota.divide took any rate of 0 for a copy without a share, so a tenant whose quota is 0 lost the one request that it had in the burst, also without [fleet] (state.go); keep reckoned every role twice a round, and role went over the sorted names by a linear search for each member (fleet.go); a node told to stop could close its gossip while the leave began, which the library answers with a panic (node.go); a round in flight could give a closed node's gates a part again; digests told calls out that nobody read, counted on every send.

Change: each at its place; Share.Counts for both look-ups; sameFleet was reflect.DeepEqual by another name. The digest is 9 bytes a fact.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -189,28 +189,36 @@
 		if now >= next {
 			f.beat(now)
 			next = now + every
+		} else {
+			f.advance(now)
 		}
-		wait := f.advance(now)
 		f.again(now)
-		timer.Reset(max(time.Millisecond, min(next-now, wait)))
+		timer.Reset(max(time.Millisecond, min(next, f.due())-now))
 	}
 }
 
-// advance has the view and the roll take what has come due, and publishes what they say now. It gives the time until
-// the view wants to be asked again.
-func (f *Fleet) advance(now time.Duration) time.Duration {
+// due is when the view wants to be asked again.
+func (f *Fleet) due() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.Advance(now)
-	f.publish(now)
 	if at, is := f.view.Next(); is {
-		return at - now
+		return at
 	}
-	return time.Hour
+	return math.MaxInt64
 }
 
-// publish tells the gates of the pools. f.mu is held.
+func (f *Fleet) advance(now time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.publish(now)
+}
+
+// publish has the view and the roll take what has come due, and tells the gates of the pools what they say now. f.mu is held.
 func (f *Fleet) publish(now time.Duration) {
+	if f.closed {
+		return // the gates say that this node has ended
+	}
+	f.view.Advance(now)
 	share := f.roll.Share(now)
 	f.share = share
 	for pool, g := range f.gates {
@@ -237,7 +245,7 @@
 	// Of those whom the share counts only members of the pool spend its rations; who is not known may be one.
 	others := 0
 	for _, m := range f.view.Members() {
-		if slices.Contains(share.Count, m.Name) && f.view.Fits(&m, pool) == membership.Without {
+		if share.Counts(m.Name) && f.view.Fits(&m, pool) == membership.Without {
 			others++
 		}
 	}
@@ -265,18 +273,17 @@
 	}
 	var letters []addressed
 	if l != nil && !f.closed {
-		counted := func(name string) bool { _, is := slices.BinarySearch(f.share.Count, name); return is }
 		f.loans.Forget(now, func(name string) bool { _, is := f.nodes[name]; return is })
 		wants := f.loans.Wants()
 		for _, name := range f.roll.Round(now) {
 			if n, is := f.nodes[name]; is {
 				b := append([]byte{beatMessage}, f.roll.Beat(name).Encode()...)
-				lent := f.loans.Lend(now, name, 1/f.share.Part(now), f.share.Until, counted)
+				lent := f.loans.Lend(now, name, 1/f.share.Part(now), f.share.Until, f.share.Counts)
 				letters = append(letters, addressed{n, append(b, shares.Encode(wants, lent)...)})
 			}
 		}
-		f.publish(now) // what is lent is not this node's any more before anybody hears of it
 	}
+	f.publish(now) // what is lent is not this node's any more before anybody hears of it
 	f.mu.Unlock()
 	for _, x := range letters {
 		f.sent.Add(int64(len(x.b)))
--- a/internal/fleet/membership/roll.go
+++ b/internal/fleet/membership/roll.go
@@ -293,7 +293,7 @@
 // Share is the part of rations that this node may take.
 type Share struct {
 	Divisor int           // of what all share; with no Standing it tells what it would be
-	Count   []string      // whom it counts, by name
+	Count   []string      // whom it counts, sorted
 	Until   time.Duration // when this is over unless more is heard
 	Granted int           // members that grant this node something now, with itself
 	Wanted  int           // how many would have to
@@ -304,6 +304,12 @@
 // Standing says that this node may take its part at that time.
 func (s Share) Standing(now time.Duration) bool { return now < s.Until }
 
+// Counts says that a name is among those that the divisor counts.
+func (s Share) Counts(name string) bool {
+	_, is := slices.BinarySearch(s.Count, name)
+	return is
+}
+
 // Part is what a ration of all is divided by for this node at that time; +Inf: it may take nothing.
 func (s Share) Part(now time.Duration) float64 {
 	if !s.Standing(now) {
--- a/internal/fleet/module.go
+++ b/internal/fleet/module.go
@@ -136,13 +136,7 @@
 		m.looked = at
 		actions = m.look(now, at, role, part, quotas)
 	}
-	actions = append(actions, m.in.Handle(now, e)...)
-	for _, a := range actions {
-		if s, is := a.(hollyspur.Send); is {
-			m.book.Sent(s.Server)
-		}
-	}
-	return actions
+	return append(actions, m.in.Handle(now, e)...)
 }
 
 // lie is what a member tells that is planted to: that a few servers fail, the same all the time.
--- a/internal/fleet/signal/signal.go
+++ b/internal/fleet/signal/signal.go
@@ -22,7 +22,7 @@
 	MaxDigest = 256
 	MaxFacts  = 24
 	header    = 12
-	factSize  = 10
+	factSize  = 9
 )
 
 // Fact is what a member has itself seen of a server of late.
@@ -32,7 +32,6 @@
 	Bad, Good uint8  // endings within the last seconds
 	Streak    uint8  // bad ones since the last good one
 	Age       uint8  // of the last ending, in tenths of a second
-	Room      uint8  // calls of its own that are out
 }
 
 // Digest is what a member tells.
@@ -69,7 +68,7 @@
 	b = append(b, byte(len(facts)))
 	for _, f := range facts {
 		b = e.AppendUint32(b, f.Server)
-		b = append(b, f.Boot, f.Bad, f.Good, f.Streak, f.Age, f.Room)
+		b = append(b, f.Boot, f.Bad, f.Good, f.Streak, f.Age)
 	}
 	return b
 }
@@ -89,7 +88,7 @@
 		return Digest{}, ErrDigest
 	}
 	for b = b[header:]; n > 0; n, b = n-1, b[factSize:] {
-		d.Facts = append(d.Facts, Fact{e.Uint32(b), b[4], b[5], b[6], b[7], b[8], b[9]})
+		d.Facts = append(d.Facts, Fact{e.Uint32(b), b[4], b[5], b[6], b[7], b[8]})
 	}
 	return d, nil
 }
@@ -123,7 +122,6 @@
 	bad, good, streak int
 	since             time.Duration // that bad and good are counted from
 	last, lastGood    time.Duration
-	out               int // own calls
 	// Heard.
 	epoch    uint64        // counts the tries that it was put aside for
 	evidence time.Duration // the latest bad ending anywhere that was weighed
@@ -183,23 +181,10 @@
 	}
 }
 
-// Sent notes that a call goes out to a server.
-func (b *Book) Sent(name string) {
-	if s := b.servers[name]; s != nil {
-		s.out++
-	}
-}
-
 // Ended notes how a call there ended; told false: it says nothing of the server's health.
 func (b *Book) Ended(now time.Duration, name string, bad, told bool) {
 	s := b.servers[name]
-	if s == nil {
-		return
-	}
-	if s.out > 0 {
-		s.out--
-	}
-	if !told {
+	if s == nil || !told {
 		return
 	}
 	if now-s.since > span {
@@ -249,7 +234,7 @@
 			continue
 		}
 		f := Fact{Server: s.id, Boot: BootByte(s.boot), Bad: uint8(min(s.bad, 255)), Good: uint8(min(s.good, 255)), Streak: uint8(min(s.streak, 255)),
-			Age: uint8(min((now-s.last)/(100*time.Millisecond), 255)), Room: uint8(min(s.out, 255))}
+			Age: uint8(min((now-s.last)/(100*time.Millisecond), 255))}
 		worth := 0
 		switch {
 		case accuses(f):
--- a/internal/fleet/signal/signal_test.go
+++ b/internal/fleet/signal/signal_test.go
@@ -78,7 +78,7 @@
 			d := Digest{Pool: 1, Seq: uint32(i + 1), Draws: uint16(rapid.IntRange(0, 65535).Draw(t, "draws"))}
 			for range rapid.IntRange(0, MaxFacts).Draw(t, "facts") {
 				d.Facts = append(d.Facts, Fact{ID(rapid.SampledFrom(names).Draw(t, "server")), 0, rapid.Byte().Draw(t, "bad"), rapid.Byte().Draw(t, "good"),
-					rapid.Byte().Draw(t, "streak"), rapid.Byte().Draw(t, "age"), 0})
+					rapid.Byte().Draw(t, "streak"), rapid.Byte().Draw(t, "age")})
 			}
 			b.Heard(now, from[who], uint64(who), 1, d)
 			for _, v := range b.Verdicts(now, all, turns.Place) {
@@ -123,7 +123,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	f.Add(Digest{Pool: 1, Seq: 2, Draws: 3, Facts: []Fact{{4, 5, 6, 7, 8, 9, 10}}}.Encode())
+	f.Add(Digest{Pool: 1, Seq: 2, Draws: 3, Facts: []Fact{{4, 5, 6, 7, 8, 9}}}.Encode())
 	f.Fuzz(func(t *testing.T, b []byte) {
 		d, err := Decode(b)
 		if err != nil {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -8,7 +8,6 @@
 	"io"
 	"log"
 	"net/http"
-	"reflect"
 	"time"
 
 	"hollyspur"
@@ -76,8 +75,6 @@
 	n.fleet.Leave(ctx)
 }
 
-func sameFleet(a, b *operator.Fleet) bool { return reflect.DeepEqual(a, b) }
-
 // fleetPages tells of the fleet on the admin address.
 func (n *Node) fleetPages(mux *http.ServeMux) {
 	none := func(w http.ResponseWriter) bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -392,7 +392,7 @@
 	n.stopping.Store(true)
 	n.ready.Store(false)
 	log.Print("told to stop")
-	go n.stopFleet() // its part is taken over while it still serves what it has
+	n.retired.Go(n.stopFleet) // its part is taken over while it still serves what it has; the end waits for it
 	defer log.Print("stopped")
 	cutoff := time.Now().Add(n.wait() + killedAfter - lastCall)
 	abandon := time.AfterFunc(time.Until(cutoff), n.abandonAll)
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -54,7 +54,7 @@
 	if plan.Operator != n.plan.Operator || plan.State != n.plan.State {
 		return fmt.Errorf("the operators' address is %q and the directory of state %q; they change only at a start", n.plan.Operator, n.plan.State)
 	}
-	if !sameFleet(plan.Fleet, n.plan.Fleet) || plan.Fleet != nil && plan.Name != n.plan.Name {
+	if !reflect.DeepEqual(plan.Fleet, n.plan.Fleet) || plan.Fleet != nil && plan.Name != n.plan.Name {
 		return errors.New("[fleet] and a member's name change only at a start")
 	}
 	if err := n.zones.reload(plan.Zones); err != nil {
--- a/state.go
+++ b/state.go
@@ -1,6 +1,7 @@
 package hollyspur
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -100,7 +101,7 @@
 func (q *quota) divide(by float64) {
 	q.rate = q.whole / by
 	q.burst = max(1, quotaBurst*q.rate)
-	if q.rate == 0 {
+	if math.IsInf(by, 1) { // nothing of it is this copy's
 		q.burst = 0
 	}
 	q.room = min(q.room, q.burst)
