--- /dev/null
+++ b/cmd/register/main.go
@@ -0,0 +1,16 @@
+// Command register is one of the mesh's core: see package register.
+package main
+
+import (
+	"os"
+
+	"github.com/rs/zerolog"
+
+	"hollyspur/internal/exchange/register"
+	"hollyspur/internal/exchange/settings"
+	"hollyspur/internal/exchange/switchroom"
+)
+
+func main() {
+	os.Exit(switchroom.Main("register", func(s settings.Settings, log zerolog.Logger) (switchroom.Role, error) { return register.New(s, log) }))
+}
--- a/hollyspur.go
+++ b/hollyspur.go
@@ -1,6 +1,6 @@
 // Package hollyspur decides where a load balancer sends each request, when it tries again and
 // when it gives up. It does no I/O: the host feeds events to a Balancer and carries out the
-// actions it returns. This file is the whole interface; every decision is in policy.go.
+// actions it returns. This file is the whole interface; every decision is in policy.go, list.go, choice.go, health.go and admission.go.
 //
 // A Balancer belongs to one goroutine. Its only clock is the now given to Handle, which must
 // never go back, and its only randomness is the seed given to New, so the same events always
@@ -206,6 +206,8 @@
 		// Quotas are this copy's parts of tenants' quotas, 0 to 1, in place of 1/Divisor where they name one.
 		Quotas map[string]float64
 	}
+	// Classes adds classes to those of the settings, or tells some of them anew, where they change while it runs.
+	Classes struct{ Classes []Class }
 	// Hearsay tells what other copies have seen of servers. One that is named is put aside until then as if it were
 	// ejected, and comes back by one safe trial, for nothing of it was seen by this copy.
 	Hearsay struct{ Aside []Aside }
@@ -262,6 +264,7 @@
 
 func (ServerList) event() {}
 func (Fleet) event()      {}
+func (Classes) event()    {}
 func (Hearsay) event()    {}
 func (ListFailed) event() {}
 func (Request) event()    {}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -157,6 +157,9 @@
 	})
 }
 
+// Tell hands the module an event that no call, attempt or list brings: of classes, or of the fleet.
+func (e *Engine) Tell(ev hollyspur.Event) { e.Do(func() { e.handle(ev) }) }
+
 // Start applies a list that was held before, if any, and follows the source if lists are pushed.
 func (e *Engine) Start(known News) {
 	e.Do(func() {
--- /dev/null
+++ b/internal/exchange/control/control.go
@@ -0,0 +1,94 @@
+// Package control is the calls of servers and operators: each is a pair of types, the call and its answer, behind one
+// generic handler that reads, bounds and words them.
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Error is an answer that is none of the pair's: a status and a line that says why.
+type Error struct {
+	Status int
+	Text   string
+}
+
+func (e *Error) Error() string { return e.Text }
+
+// Fault is an Error of that status.
+func Fault(status int, text string) error { return &Error{status, text} }
+
+// Raw is a call whose body is read by whoever handles it, or an answer that is worded already.
+type Raw []byte
+
+// None is a call without a body, or an answer that says nothing.
+type None struct{}
+
+// failure is how an Error is worded.
+type failure struct {
+	ErrorText string `json:"ErrorText"`
+}
+
+// Handle makes a handler of a function from a call to its answer. The body holds most bytes at the most; the function has
+// so long.
+func Handle[C, A any](most int64, within time.Duration, f func(ctx context.Context, r *http.Request, call C) (A, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), within)
+		defer cancel()
+		var call C
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+		if err != nil {
+			status := http.StatusBadRequest
+			if _, over := err.(*http.MaxBytesError); over {
+				status = http.StatusRequestEntityTooLarge
+			}
+			answer(w, status, failure{"the body did not come whole: " + err.Error()})
+			return
+		}
+		switch c := any(&call).(type) {
+		case *None:
+		case *Raw:
+			*c = body
+		default:
+			if err := json.Unmarshal(body, c); err != nil {
+				answer(w, http.StatusBadRequest, failure{"the body can't be read: " + err.Error()})
+				return
+			}
+		}
+		a, err := f(ctx, r, call)
+		var e *Error
+		switch {
+		case errors.As(err, &e):
+			if e.Status == http.StatusServiceUnavailable {
+				w.Header().Set("Retry-After", "0.2")
+			}
+			answer(w, e.Status, failure{e.Text})
+		case err != nil:
+			answer(w, http.StatusInternalServerError, failure{err.Error()})
+		default:
+			answer(w, http.StatusOK, a)
+		}
+	}
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	p, is := v.(Raw)
+	if !is {
+		if p, _ = json.Marshal(v); v == (None{}) {
+			p = Raw("{}")
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(p) // an error means that the caller has gone
+}
+
+// Serve runs a server of calls on a listener's handler until it is closed.
+func Serve(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 16 << 10}
+}
--- /dev/null
+++ b/internal/exchange/line/home.go
@@ -0,0 +1,245 @@
+package line
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"hollyspur/internal/exchange/directory"
+	"hollyspur/internal/exchange/patch"
+	"hollyspur/internal/exchange/trunk"
+	"hollyspur/internal/exchange/trunk/wire"
+)
+
+// Times of the home register.
+const (
+	homeRest   = 100 * time.Millisecond // between tries to find one
+	askAgain   = 150 * time.Millisecond
+	askWithin  = time.Second
+	outOfTouch = 400 * time.Millisecond // that a home may be without a leader
+)
+
+// home is the register that this line hears of all else from; another one takes its place when it is silent or hears of
+// no leader.
+type home struct {
+	line  *Line
+	c     atomic.Pointer[trunk.Conn]
+	touch atomic.Bool
+
+	mu       sync.Mutex // guards below
+	known    []string   // trunks of the registers
+	view     uint64     // that they are of
+	releases []*wire.ClaimT
+	wake     chan struct{}
+}
+
+func newHome(l *Line) *home {
+	return &home{line: l, known: l.set.Load().Seeds(), wake: make(chan struct{}, 1)}
+}
+
+func (h *home) inTouch() bool { return h.touch.Load() }
+
+func (h *home) close() {
+	if c := h.c.Load(); c != nil {
+		for n := 0; n < 20 && !c.Flushed(); n++ {
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.Close(nil)
+	}
+}
+
+// candidates are the registers to try, those that are known to be members first.
+func (h *home) candidates() []string {
+	h.mu.Lock()
+	l := append([]string(nil), h.known...)
+	h.mu.Unlock()
+	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	seen := map[string]bool{}
+	for _, a := range l {
+		seen[a] = true
+	}
+	for _, a := range h.line.set.Load().Seeds() {
+		if !seen[a] {
+			l = append(l, a)
+		}
+	}
+	return l
+}
+
+// run keeps a home.
+func (h *home) run() {
+	l := h.line
+	go h.giveBack()
+	for l.ctx.Err() == nil {
+		for _, addr := range h.candidates() {
+			hello := &wire.HelloT{Name: l.set.Load().NodeName, Addr: l.Addr(), Zone: l.set.Load().Zone}
+			c, err := trunk.Dial(l.ctx, addr, hello, nil)
+			if err != nil {
+				l.log.Debug().Err(err).Msg("home")
+				continue
+			}
+			h.follow(c)
+			if l.ctx.Err() != nil {
+				return
+			}
+		}
+		select {
+		case <-time.After(homeRest):
+		case <-l.ctx.Done():
+		}
+	}
+}
+
+// follow stays with a home for as long as it is one.
+func (h *home) follow(c *trunk.Conn) {
+	l := h.line
+	h.c.Store(c)
+	defer func() {
+		h.touch.Store(false)
+		c.Close(nil)
+	}()
+	c.Send(directory.Wire([]directory.Record{l.own.record()}))
+	go h.confirm(c)
+	last := time.Now() // that it was in touch
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			return
+		}
+		switch v := m.Value.(type) {
+		case *wire.BeatT:
+			h.touch.Store(v.Touch)
+			if v.Touch {
+				last = time.Now()
+			} else if time.Since(last) > outOfTouch {
+				return
+			}
+		case *wire.ItemsT:
+			l.takeItems(patch.ItemsOf(v))
+		case *wire.RecordsT:
+			l.takeRecords(directory.Of(v))
+		case *wire.MembersT:
+			h.mu.Lock()
+			if v.Index >= h.view && len(v.List) > 0 {
+				h.view, h.known = v.Index, nil
+				for _, x := range v.List {
+					h.known = append(h.known, x.Addr)
+				}
+			}
+			h.mu.Unlock()
+		case *wire.ToldT:
+			l.asks.Told(c, v)
+		}
+	}
+}
+
+// confirm has the home read all items back from the core.
+func (h *home) confirm(c *trunk.Conn) {
+	l := h.line
+	for {
+		ctx, cancel := context.WithTimeout(l.ctx, askWithin)
+		t, err := l.asks.Ask(ctx, c, trunk.AskTable, nil)
+		cancel()
+		if err == nil && t.Status == http.StatusOK {
+			items, err := trunk.Parse(t.Body, func(p []byte) *wire.ItemsT { return wire.GetRootAsItems(p, 0).UnPack() })
+			if err == nil {
+				l.takeItems(patch.ItemsOf(items))
+				if len(items.List) > 0 { // else the operator has not come yet
+					h.touch.Store(true)
+					l.confirmed()
+					return
+				}
+			}
+		}
+		select {
+		case <-time.After(askAgain):
+		case <-c.Done():
+			return
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// tell tells the home of this line's record.
+func (h *home) tell(r directory.Record) {
+	if c := h.c.Load(); c != nil {
+		c.Send(directory.Wire([]directory.Record{r}))
+	}
+}
+
+// claim asks for a key; it asks again at another home while there is time.
+func (h *home) claim(ctx context.Context, x *wire.ClaimT) (*wire.GrantT, error) {
+	body := trunk.Bytes(&wire.ClaimsT{List: []*wire.ClaimT{x}})
+	for {
+		c := h.c.Load()
+		if c != nil && c.Err() == nil {
+			t, err := h.line.asks.Ask(ctx, c, trunk.AskClaims, body)
+			if err == nil && t.Status == http.StatusOK {
+				g, err := trunk.Parse(t.Body, func(p []byte) *wire.GrantsT { return wire.GetRootAsGrants(p, 0).UnPack() })
+				if err == nil && len(g.List) == 1 {
+					return g.List[0], nil
+				}
+			}
+		}
+		select {
+		case <-time.After(30 * time.Millisecond):
+		case <-ctx.Done():
+			return nil, errors.Annotate(ctx.Err(), "the key was not granted in time")
+		}
+	}
+}
+
+// mostReleases are kept to be told; beyond that keys stay held for their window.
+const mostReleases = 4096
+
+// release gives a key back, when there is a home to tell.
+func (h *home) release(x *wire.ClaimT) {
+	h.mu.Lock()
+	if len(h.releases) < mostReleases {
+		h.releases = append(h.releases, x)
+	}
+	h.mu.Unlock()
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// giveBack tells the releases, in order, until each is taken.
+func (h *home) giveBack() {
+	for {
+		select {
+		case <-h.wake:
+		case <-h.line.ctx.Done():
+			return
+		}
+		for h.line.ctx.Err() == nil {
+			h.mu.Lock()
+			l := h.releases
+			h.releases = nil
+			h.mu.Unlock()
+			if len(l) == 0 {
+				break
+			}
+			for {
+				ctx, cancel := context.WithTimeout(h.line.ctx, askWithin)
+				var t *wire.ToldT
+				err := errors.New("no home")
+				if c := h.c.Load(); c != nil {
+					t, err = h.line.asks.Ask(ctx, c, trunk.AskClaims, trunk.Bytes(&wire.ClaimsT{List: l}))
+				}
+				cancel()
+				if err == nil && t.Status == http.StatusOK || h.line.ctx.Err() != nil {
+					break
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/exchange/line/keys.go
@@ -0,0 +1,121 @@
+package line
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"hollyspur/internal/exchange/trunk"
+	"hollyspur/internal/exchange/trunk/wire"
+)
+
+// claim has the registers agree that this request, and no other of its key, may run here. nil: it may; else the answer.
+func (r *run) claim(ctx context.Context) *wire.AnswerT {
+	in, q := r.in, r.q
+	l := in.line
+	window := l.set.Load().Bounds.KeyWindowS.D()
+	was, fresh := in.keep.begin(q.Key, q.Ticket, q.Nth, window)
+	if !fresh {
+		return r.repeat(was)
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(claimWithin, time.Duration(q.Budget)*time.Microsecond/2))
+	defer cancel()
+	grant, err := l.home.claim(ctx, &wire.ClaimT{Key: q.Key, Ticket: q.Ticket, Nth: q.Nth, Holder: l.Addr()})
+	switch {
+	case err != nil:
+		// It may be granted all the same, but it never ran: so that is said, and the key given back.
+		r.giveBack()
+		return &wire.AnswerT{Ending: endOverloaded}
+	case grant.Granted:
+		in.keep.set(q.Key, running, nil)
+		return nil
+	}
+	in.keep.forget(q.Key)
+	if grant.Holder == l.Addr() { // claimed in another life of this line
+		return r.lost()
+	}
+	k, err := l.cords.recall(ctx, grant.Holder, q.Key)
+	switch {
+	case err != nil || k.Unknown || !k.Found:
+		return r.lost()
+	case k.Running:
+		return r.inWork()
+	case k.Status == 0: // it never ran, and its key is on the way back
+		return &wire.AnswerT{Ending: endOverloaded}
+	}
+	return r.again(&wire.AnswerT{Status: k.Status, Fields: k.Fields, Body: k.Body, Length: int64(len(k.Body))})
+}
+
+// repeat answers a request whose key ran here before.
+func (r *run) repeat(was kept) *wire.AnswerT {
+	switch {
+	case was.fate == claiming || was.fate == running:
+		return r.inWork()
+	case was.fate == done && was.answer != nil:
+		return r.again(was.answer)
+	}
+	return r.lost()
+}
+
+// again is the first run's answer, for another try.
+func (r *run) again(first *wire.AnswerT) *wire.AnswerT {
+	a := &wire.AnswerT{Status: first.Status, Body: first.Body, Length: first.Length}
+	for _, f := range first.Fields {
+		if f.Name != hAttempt {
+			a.Fields = append(a.Fields, f)
+		}
+	}
+	a.Fields = append(a.Fields, &wire.FieldT{Name: hAttempt, Value: r.q.Attempt})
+	return a
+}
+
+func (r *run) inWork() *wire.AnswerT { return r.own(http.StatusConflict, "the key is at work") }
+
+func (r *run) lost() *wire.AnswerT {
+	return r.own(http.StatusBadGateway, "the key's request has run, or may have, and its answer is lost")
+}
+
+// own is an answer in the server's place.
+func (r *run) own(status int, text string) *wire.AnswerT {
+	return &wire.AnswerT{Status: uint16(status), Body: []byte(text + "\n"), Length: int64(len(text) + 1),
+		Fields: []*wire.FieldT{{Name: hAttempt, Value: r.q.Attempt}, {Name: "Content-Type", Value: "text/plain; charset=utf-8"}}}
+}
+
+// release gives a key back whose request never ran.
+func (r *run) release() {
+	if r.held.Load() {
+		r.giveBack()
+	}
+}
+
+func (r *run) giveBack() {
+	r.in.keep.forget(r.q.Key)
+	r.in.line.home.release(&wire.ClaimT{Key: r.q.Key, Ticket: r.q.Ticket, Nth: r.q.Nth, Holder: r.in.line.Addr(), Release: true})
+}
+
+// recall is what this line knows of a key, for another.
+func (in *inbound) recall(key string) *wire.KeptT {
+	x, is := in.keep.get(key)
+	switch {
+	case is && x.fate == never:
+		return &wire.KeptT{Found: true}
+	case !is, x.fate == unknown, x.fate == done && x.answer == nil:
+		return &wire.KeptT{Found: is, Unknown: true}
+	case x.fate == done:
+		return &wire.KeptT{Found: true, Status: x.answer.Status, Fields: x.answer.Fields, Body: x.answer.Body}
+	}
+	return &wire.KeptT{Found: true, Running: true}
+}
+
+// recall asks another line for the answer that it keeps for a key.
+func (s *cords) recall(ctx context.Context, holder, key string) (*wire.KeptT, error) {
+	c, err := s.cord(holder).connect(ctx)
+	if err != nil {
+		return nil, err
+	}
+	t, err := s.line.asks.Ask(ctx, c, trunk.AskRecall, []byte(key))
+	if err != nil {
+		return nil, err
+	}
+	return trunk.Parse(t.Body, func(p []byte) *wire.KeptT { return wire.GetRootAsKept(p, 0).UnPack() })
+}
--- /dev/null
+++ b/internal/exchange/line/line.go
@@ -0,0 +1,232 @@
+// Package line puts a line together: the sidecar's front for those who call, a pool with engine and module for each service,
+// cords to the lines beside the servers, the side that runs requests at its own server, that server's beats, and the home
+// register that it learns all else from. It decides nothing that the module, dialplan, directory or toll decide.
+//
+// Tables are snapshots: the plan, the directory and the items are each swapped whole; what a request began with holds to
+// its end.
+package line
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"hollyspur/internal/engine"
+	"hollyspur/internal/exchange/control"
+	"hollyspur/internal/exchange/dialplan"
+	"hollyspur/internal/exchange/directory"
+	"hollyspur/internal/exchange/patch"
+	"hollyspur/internal/exchange/settings"
+	"hollyspur/internal/exchange/trunk"
+	front "hollyspur/internal/front/http1"
+	"hollyspur/internal/pool"
+	sender "hollyspur/internal/sender/http1"
+)
+
+// Times of a line.
+const (
+	leadFor     = 2300 * time.Millisecond // clients find out that they are to leave
+	endSlack    = 700 * time.Millisecond  // of GraceS, for the end itself
+	refresh     = 5 * time.Second         // of its record
+	lineSilence = 45 * time.Second
+)
+
+// Line is one line.
+type Line struct {
+	set   atomic.Pointer[settings.Settings]
+	log   zerolog.Logger
+	clock engine.Clock
+	life  string // of this process, in tickets
+	ctx   context.Context
+
+	front     *front.Front
+	serving   atomic.Bool // the front is
+	stopping  atomic.Bool
+	pools     *pools
+	cords     *cords
+	inbound   *inbound
+	own       *own
+	home      *home
+	asks      trunk.Asks
+	trunks    net.Listener
+	readiness net.Listener
+	calls     net.Listener
+	servers   []*http.Server
+
+	mu    sync.Mutex // guards changes of the snapshots below, which are read without it
+	items patch.Table
+	plan  atomic.Pointer[dialplan.Plan]
+	dir   atomic.Pointer[directory.Table]
+}
+
+// New listens; Run serves.
+func New(set settings.Settings, log zerolog.Logger) (_ *Line, err error) {
+	l := &Line{log: log, clock: engine.NewClock()}
+	l.set.Store(&set)
+	var p [6]byte
+	crand.Read(p[:])
+	l.life = hex.EncodeToString(p[:])
+	l.plan.Store(dialplan.Make(patch.Table{}))
+	l.dir.Store(&directory.Table{})
+	budgets := newBudgets(set)
+	l.own = newOwn(l)
+	l.inbound = newInbound(l, sender.New(sender.Config{Idle: serverIdle, Connect: connectWithin, Connections: budgets.servers,
+		LongAnswers: budgets.toServer, Speech: serverSpeech{}, Quiet: time.Hour}))
+	l.cords = newCords(l)
+	l.pools = newPools(l, budgets)
+	l.home = newHome(l)
+	listen := func(name, addr string) net.Listener {
+		if err != nil {
+			return nil
+		}
+		var nl net.Listener
+		if nl, err = net.Listen("tcp4", addr); err != nil {
+			err = errors.Annotate(err, name)
+		}
+		return nl
+	}
+	l.readiness = listen("Readiness", set.ListenAddrs.Readiness)
+	l.calls = listen("ControlPlane", set.ListenAddrs.ControlPlane)
+	l.trunks = listen("Inbound", set.ListenAddrs.Inbound)
+	out := listen("Outbound", set.ListenAddrs.Outbound)
+	if err != nil {
+		return nil, err
+	}
+	l.front = front.New(out, l.clock, routes{l}, budgets.callers)
+	l.front.Speech = speech{l}
+	return l, nil
+}
+
+// Addr is the address of its trunk, by which the others name it.
+func (l *Line) Addr() string { return l.set.Load().ListenAddrs.Inbound }
+
+// Reload takes a settings file that has changed.
+func (l *Line) Reload(set settings.Settings) { l.set.Store(&set) }
+
+func (l *Line) ready() bool { return l.serving.Load() && !l.stopping.Load() }
+
+// Run serves until ctx ends, then lets go of callers and finishes what was taken.
+func (l *Line) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l.ctx = work
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/readiness", func(w http.ResponseWriter, _ *http.Request) {
+		if !l.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	ready, calls := control.Serve(mux), control.Serve(l.own.handlers())
+	l.servers = []*http.Server{ready, calls}
+	go ready.Serve(l.readiness)
+	go calls.Serve(l.calls)
+	go l.inbound.accept(l.trunks)
+	go l.home.run()
+	go l.own.watch()
+	<-ctx.Done()
+	l.stop()
+	return nil
+}
+
+// confirmed is called once the items are known to be no older than what was acknowledged.
+func (l *Line) confirmed() {
+	if !l.serving.CompareAndSwap(false, true) {
+		return
+	}
+	if idle := l.plan.Load().Limits.IdleTimeoutS.D(); idle > 0 {
+		l.front.Idle(idle)
+	}
+	go func() {
+		if err := l.front.Serve(); err != http.ErrServerClosed && !l.stopping.Load() {
+			l.log.Error().Err(err).Msg("the front ended")
+		}
+	}()
+}
+
+// stop has callers leave, then ends what is open in the time that is left.
+func (l *Line) stop() {
+	began := time.Now()
+	grace := l.set.Load().Bounds.GraceS.D()
+	l.stopping.Store(true)
+	l.own.leave()
+	l.front.LeadAway(true)
+	deadline := began.Add(max(grace-endSlack, grace/2))
+	lead := time.NewTicker(100 * time.Millisecond)
+	defer lead.Stop()
+	for time.Since(began) < min(leadFor, grace/2) {
+		<-lead.C
+		if time.Since(began) > time.Second {
+			l.front.LeadIdle()
+		}
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if l.serving.Load() {
+		l.front.Shutdown(ctx)
+	}
+	for l.inbound.open.Load() > 0 && ctx.Err() == nil {
+		<-lead.C
+	}
+	l.home.close()
+	l.cords.close()
+	for _, s := range l.servers {
+		s.Close()
+	}
+}
+
+// takeItems merges items that a register told.
+func (l *Line) takeItems(items []patch.Item) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next, raised := l.items.Merge(items)
+	if len(raised) == 0 {
+		return
+	}
+	l.items = next
+	plan := dialplan.Make(next)
+	l.pools.follow(plan)
+	l.plan.Store(plan)
+}
+
+// takeRecords merges records of lines.
+func (l *Line) takeRecords(records []directory.Record) {
+	addr := l.Addr()
+	l.mu.Lock()
+	next, news := l.dir.Load().Merge(l.clock.Now(), records)
+	if len(news) > 0 {
+		l.dir.Store(&next)
+	}
+	l.mu.Unlock()
+	if len(news) == 0 {
+		return
+	}
+	for _, r := range news {
+		if r.Addr == addr {
+			l.own.outdo(r.Life)
+		}
+	}
+	l.pools.relist()
+}
+
+// expire drops lines that nothing was heard of for long.
+func (l *Line) expire() {
+	l.mu.Lock()
+	next, dropped := l.dir.Load().Expire(l.clock.Now(), lineSilence)
+	if len(dropped) > 0 {
+		l.dir.Store(&next)
+	}
+	l.mu.Unlock()
+	if len(dropped) > 0 {
+		l.pools.relist()
+	}
+}
+
+var _ = pool.ErrRetired
--- /dev/null
+++ b/internal/exchange/line/own.go
@@ -0,0 +1,231 @@
+package line
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hollyspur/internal/engine"
+	"hollyspur/internal/exchange/control"
+	"hollyspur/internal/exchange/directory"
+	"hollyspur/internal/exchange/patch"
+)
+
+// missedBeats is how many beats a server may miss before it counts as gone.
+const missedBeats = 3
+
+// Beat is a server's call.
+type Beat struct {
+	Address    string     `json:"Address"`
+	SystemInfo SystemInfo `json:"SystemInfo"`
+	OperStatus OperStatus `json:"OperStatus"`
+}
+
+// SystemInfo is what a server is.
+type SystemInfo struct {
+	Service       string `json:"Service"`
+	ConfigVersion string `json:"ConfigVersion"`
+	Zone          string `json:"Zone"`
+	SlotCount     int    `json:"SlotCount"`
+}
+
+// OperStatus is how a server does.
+type OperStatus struct {
+	State       string        `json:"State"`
+	CallSeq     int64         `json:"CallSeq"`
+	WarmupLeftS patch.Seconds `json:"WarmupLeftS"`
+}
+
+// Beaten is the answer to a beat.
+type Beaten struct{}
+
+// own is the server beside this line, as its beats tell of it, and the record that the others hear.
+type own struct {
+	line *Line
+
+	mu      sync.Mutex // guards below
+	rec     directory.Record
+	ep      *engine.Endpoint
+	callSeq int64
+	heard   time.Time
+	ended   map[string]bool // instances that left
+	left    bool            // the line does
+	state   atomic.Pointer[directory.Record]
+}
+
+func newOwn(l *Line) *own {
+	set := l.set.Load()
+	o := &own{line: l, ended: map[string]bool{}}
+	o.rec = directory.Record{Node: set.NodeName, Life: uint64(time.Now().UnixNano()), Seq: 1, Addr: set.ListenAddrs.Inbound, Zone: set.Zone, Service: set.Service}
+	r := o.rec
+	o.state.Store(&r)
+	return o
+}
+
+// record is what the others are told.
+func (o *own) record() directory.Record { return *o.state.Load() }
+
+// publish tells the others of a change. The caller holds the lock.
+func (o *own) publish() {
+	o.rec.Seq++
+	r := o.rec
+	if r.Server != "" && r.State == directory.Draining && o.left {
+		r.Gone = true
+	}
+	o.state.Store(&r)
+	go func() {
+		o.line.takeRecords([]directory.Record{r})
+		o.line.home.tell(r)
+	}()
+}
+
+// outdo has this life count as the later one: its clock may have been set back since the one before.
+func (o *own) outdo(life uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if life > o.rec.Life {
+		o.rec.Life = life + 1
+		o.publish()
+	}
+}
+
+// endpoint is the server's, if it is that instance.
+func (o *own) endpoint(instance string) *engine.Endpoint {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ep == nil || o.ep.ID != instance {
+		return nil
+	}
+	return o.ep
+}
+
+// unreachable notes that nothing listens at the server's address.
+func (o *own) unreachable(ep *engine.Endpoint) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ep == ep && o.rec.State == directory.Ready {
+		o.rec.State = directory.Down
+		o.publish()
+	}
+}
+
+// leave has the others send nothing here any more, for the line ends.
+func (o *own) leave() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.left = true
+	o.rec.Gone = true
+	o.publish()
+}
+
+func (o *own) handlers() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/endpoints/{id}/heartbeat", control.Handle(16<<10, time.Second,
+		func(_ context.Context, r *http.Request, b Beat) (Beaten, error) { return Beaten{}, o.beat(r.PathValue("id"), b) }))
+	mux.HandleFunc("POST /v1/endpoints/{id}/deregister", control.Handle(16<<10, time.Second,
+		func(_ context.Context, r *http.Request, _ control.None) (control.None, error) {
+			o.deregister(r.PathValue("id"))
+			return control.None{}, nil
+		}))
+	return mux
+}
+
+// beat takes a server's word of itself.
+func (o *own) beat(id string, b Beat) error {
+	if id == "" || len(id) > longestID || b.Address == "" {
+		return control.Fault(http.StatusBadRequest, "a beat without id or Address")
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ended[id] {
+		return nil // late: it has left since
+	}
+	state := directory.Ready
+	if b.OperStatus.State == "draining" {
+		state = directory.Draining
+	}
+	if o.ep == nil || o.ep.ID != id || o.ep.Addr != b.Address {
+		if o.ep != nil {
+			o.ep.SetUsable(false)
+			o.line.inbound.sender.Drop(o.ep)
+			if o.ep.ID != id {
+				o.end(o.ep.ID)
+			}
+		}
+		o.ep = engine.NewEndpoint(id, b.Address)
+		o.callSeq = b.OperStatus.CallSeq
+		o.rec.Server, o.rec.State = id, directory.None
+		o.rec.Warmup = b.OperStatus.WarmupLeftS.D()
+		o.rec.Service = b.SystemInfo.Service
+		if o.rec.Service == "" {
+			o.rec.Service = o.line.set.Load().Service
+		}
+		o.rec.Slots = uint32(max(0, b.SystemInfo.SlotCount))
+	} else if b.OperStatus.CallSeq <= o.callSeq {
+		return nil // overtaken
+	}
+	o.callSeq = max(o.callSeq, b.OperStatus.CallSeq)
+	o.heard = time.Now()
+	if o.rec.State != state {
+		o.rec.State = state
+		o.ep.SetUsable(state == directory.Ready)
+		if state != directory.Ready {
+			o.line.inbound.sender.Drop(o.ep)
+		}
+		o.publish()
+	}
+	return nil
+}
+
+// end notes an instance that is no more. The caller holds the lock.
+func (o *own) end(id string) {
+	if len(o.ended) > 64 {
+		clear(o.ended)
+	}
+	o.ended[id] = true
+}
+
+func (o *own) deregister(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.end(id)
+	if o.ep != nil && o.ep.ID == id {
+		o.ep.SetUsable(false)
+		o.line.inbound.sender.Drop(o.ep)
+		o.ep, o.rec.Server, o.rec.State = nil, "", directory.None
+		o.publish()
+	}
+}
+
+// watch sees to beats that don't come, tells the record again now and then, and drops lines that are heard of no more.
+func (o *own) watch() {
+	every := max(100*time.Millisecond, o.line.set.Load().HeartbeatS.D()/2)
+	t := time.NewTicker(every)
+	defer t.Stop()
+	told := time.Now()
+	for {
+		select {
+		case <-t.C:
+		case <-o.line.ctx.Done():
+			return
+		}
+		o.line.inbound.sender.Sweep()
+		o.mu.Lock()
+		silence := o.line.set.Load().HeartbeatS.D()*missedBeats + 500*time.Millisecond
+		switch {
+		case o.ep != nil && o.rec.State == directory.Ready && time.Since(o.heard) > silence:
+			o.rec.State = directory.Down
+			o.publish()
+			told = time.Now()
+		case time.Since(told) > refresh:
+			o.publish()
+			told = time.Now()
+		}
+		o.mu.Unlock()
+		if o.line.home.inTouch() {
+			o.line.expire()
+		}
+	}
+}
--- /dev/null
+++ b/internal/exchange/patch/patch.go
@@ -0,0 +1,382 @@
+// Package patch is the configuration as items: how an operator's call is read and checked, and how items are merged. It
+// is pure. An item's highest version holds; a lower or equal one changes nothing, but for an equal one with other content,
+// which is refused with all that came in the same call.
+package patch
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/juju/errors"
+)
+
+// Kind says what an item is.
+type Kind uint8
+
+// Kinds of items.
+const (
+	Route Kind = iota
+	Service
+	Limits
+)
+
+// String names the kind as operators do.
+func (k Kind) String() string { return [...]string{"route", "service", "limits"}[min(k, Limits)] }
+
+// Name is an item's among all.
+type Name struct {
+	Kind Kind
+	Name string
+}
+
+// Item is one item as it stands or was dropped. It is never changed once made.
+type Item struct {
+	Name
+	Version int64
+	Dropped bool
+	Host    string // of a route
+	Body    []byte // as JSON, in one form for one content
+}
+
+// Seconds is a time as the wire has it.
+type Seconds float64
+
+// D is the time.
+func (s Seconds) D() time.Duration { return time.Duration(float64(s) * float64(time.Second)) }
+
+// Rule is a route's content.
+type Rule struct {
+	Name           string  `json:"Name" validate:"required,max=512"`
+	RouteType      string  `json:"RouteType" validate:"oneof=idempotent non_idempotent keyed download"`
+	TargetLatencyS Seconds `json:"TargetLatencyS" validate:"gte=0"`
+	Priority       int     `json:"Priority" validate:"gte=0,lte=1000"`
+	ConfigVersion  int64   `json:"ConfigVersion"`
+	MatchCriteria  struct {
+		PathPrefix string `json:"PathPrefix" validate:"startswith=/,endswith=/,max=4096"`
+	} `json:"MatchCriteria"`
+	ForwardAction struct {
+		Service      string  `json:"Service" validate:"required_without=TrafficSplit"`
+		TrafficSplit []Split `json:"TrafficSplit" validate:"max=256,dive"`
+		TimeoutS     Seconds `json:"TimeoutS" validate:"gt=0,lte=86400"`
+		RetryCount   int     `json:"RetryCount" validate:"gt=0,lte=1000"`
+	} `json:"ForwardAction"`
+}
+
+// Split is a part of a route's requests.
+type Split struct {
+	Service string  `json:"Service" validate:"required"`
+	Weight  float64 `json:"Weight" validate:"gte=0"`
+}
+
+// Services are those that a rule sends to.
+func (r *Rule) Services() []Split {
+	if len(r.ForwardAction.TrafficSplit) > 0 {
+		return r.ForwardAction.TrafficSplit
+	}
+	return []Split{{r.ForwardAction.Service, 1}}
+}
+
+// Group is a service's content.
+type Group struct {
+	Name           string `json:"Name" validate:"required,max=512"`
+	HealthPath     string `json:"HealthPath"`
+	MaxConnections int    `json:"MaxConnections" validate:"gte=0"`
+	Protocol       string `json:"Protocol"`
+	TLSEnabled     bool   `json:"TlsEnabled"`
+	DedupEnabled   bool   `json:"DedupEnabled"`
+	ConfigVersion  int64  `json:"ConfigVersion"`
+}
+
+// Bounds are the content of the one item of limits.
+type Bounds struct {
+	MaxHeaderBytes int     `json:"MaxHeaderBytes" validate:"gte=0"`
+	MaxBodyBytes   int64   `json:"MaxBodyBytes" validate:"gte=0"`
+	HeaderTimeoutS Seconds `json:"HeaderTimeoutS" validate:"gte=0"`
+	IdleTimeoutS   Seconds `json:"IdleTimeoutS" validate:"gte=0"`
+	ConfigVersion  int64   `json:"ConfigVersion"`
+}
+
+// Listener is a host and its rules, as the wire lays them out.
+type Listener struct {
+	HostName    string            `json:"HostName"`
+	PolicyRules []json.RawMessage `json:"PolicyRules"`
+}
+
+// Set is items as the wire lays them out.
+type Set struct {
+	Limits         json.RawMessage   `json:"Limits,omitempty"`
+	ListenerList   []Listener        `json:"ListenerList"`
+	UpstreamGroups []json.RawMessage `json:"UpstreamGroups"`
+}
+
+// Drop names an item that is to go.
+type Drop struct {
+	Name          string `json:"Name" validate:"required,max=512"`
+	ConfigVersion int64  `json:"ConfigVersion"`
+}
+
+// Modify is an operator's call.
+type Modify struct {
+	Upsert *Set `json:"Upsert"`
+	Remove *struct {
+		RouteTable     []Drop `json:"RouteTable"`
+		ServiceTable   []Drop `json:"ServiceTable"`
+		UpstreamGroups []Drop `json:"UpstreamGroups"`
+	} `json:"Remove"`
+}
+
+// Errors of this layer: the call's own fault, and a version that has another content already.
+const (
+	ErrInvalid  = errors.ConstError("invalid")
+	ErrConflict = errors.ConstError("conflict")
+)
+
+func invalid(at, format string, args ...any) error {
+	return errors.WithType(errors.Errorf("%s: %s", at, fmt.Sprintf(format, args...)), ErrInvalid)
+}
+
+var check = validator.New(validator.WithRequiredStructEnabled())
+
+// tagged checks an item by its struct tags; the error names the item and the field.
+func tagged(at string, v any) error {
+	err := check.Struct(v)
+	if bad, is := err.(validator.ValidationErrors); is {
+		_, field, _ := strings.Cut(bad[0].Namespace(), ".")
+		return invalid(at, "%s is %v; wanted: %s", field, bad[0].Value(), strings.TrimSpace(bad[0].Tag()+" "+bad[0].Param()))
+	}
+	return err
+}
+
+// decode reads JSON to its end.
+func decode(p []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(p))
+	d.UseNumber()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return errors.New("more behind the end")
+	}
+	return nil
+}
+
+// form is the one form of a content: keys in order, no space.
+func form(raw json.RawMessage) []byte {
+	var v any
+	if decode(raw, &v) != nil {
+		return raw
+	}
+	p, err := json.Marshal(v)
+	if err != nil {
+		return raw
+	}
+	return p
+}
+
+// Read reads a call and checks all that can be told from it alone.
+func Read(text []byte) ([]Item, error) {
+	var m Modify
+	if err := decode(text, &m); err != nil {
+		return nil, invalid("the call", "can't be read whole: %v", err)
+	}
+	if m.Upsert == nil && m.Remove == nil {
+		return nil, invalid("the call", "holds no items")
+	}
+	var items []Item
+	if m.Upsert != nil {
+		l, err := m.Upsert.items()
+		if err != nil {
+			return nil, err
+		}
+		items = l
+	}
+	if m.Remove != nil {
+		drop := func(kind Kind, l []Drop) error {
+			for _, d := range l {
+				if err := tagged("Remove: "+kind.String(), d); err != nil {
+					return err
+				}
+				items = append(items, Item{Name: Name{kind, d.Name}, Version: d.ConfigVersion, Dropped: true})
+			}
+			return nil
+		}
+		for _, l := range []struct {
+			kind Kind
+			list []Drop
+		}{{Route, m.Remove.RouteTable}, {Service, m.Remove.ServiceTable}, {Service, m.Remove.UpstreamGroups}} {
+			if err := drop(l.kind, l.list); err != nil {
+				return nil, err
+			}
+		}
+	}
+	seen := map[Name]bool{}
+	for _, i := range items {
+		if seen[i.Name] {
+			return nil, invalid(i.Kind.String()+" "+i.Name.Name, "stands in the call twice")
+		}
+		seen[i.Name] = true
+	}
+	return items, nil
+}
+
+func (s *Set) items() (items []Item, err error) {
+	for n, l := range s.ListenerList {
+		if l.HostName == "" {
+			return nil, invalid(fmt.Sprintf("ListenerList[%d]", n), "HostName is empty")
+		}
+		for _, raw := range l.PolicyRules {
+			var r Rule
+			if err := json.Unmarshal(raw, &r); err != nil {
+				return nil, invalid("a rule of host "+l.HostName, "can't be read: %v", err)
+			}
+			if err := r.check(); err != nil {
+				return nil, err
+			}
+			items = append(items, Item{Name: Name{Route, r.Name}, Version: r.ConfigVersion, Host: l.HostName, Body: form(raw)})
+		}
+	}
+	for _, raw := range s.UpstreamGroups {
+		var g Group
+		if err := json.Unmarshal(raw, &g); err != nil {
+			return nil, invalid("a service", "can't be read: %v", err)
+		}
+		if err := tagged("service "+g.Name, g); err != nil {
+			return nil, err
+		}
+		items = append(items, Item{Name: Name{Service, g.Name}, Version: g.ConfigVersion, Body: form(raw)})
+	}
+	if raw := bytes.TrimSpace(s.Limits); len(raw) > 0 && string(raw) != "null" {
+		var b Bounds
+		if err := json.Unmarshal(raw, &b); err != nil {
+			return nil, invalid("Limits", "can't be read: %v", err)
+		}
+		if err := tagged("Limits", b); err != nil {
+			return nil, err
+		}
+		items = append(items, Item{Name: Name{Limits, ""}, Version: b.ConfigVersion, Body: form(raw)})
+	}
+	return items, nil
+}
+
+// mostOver is by how much a route's aim may pass its time limit.
+const mostOver = 60
+
+func (r *Rule) check() error {
+	at := "route " + r.Name
+	if err := tagged(at, r); err != nil {
+		return err
+	}
+	sum := 0.0
+	for _, s := range r.Services() {
+		sum += s.Weight
+	}
+	switch {
+	case !(sum > 0):
+		return invalid(at, "ForwardAction.TrafficSplit: the weights sum to %v", sum)
+	case r.TargetLatencyS >= r.ForwardAction.TimeoutS+mostOver:
+		return invalid(at, "TargetLatencyS %v exceeds TimeoutS %v by a minute or more", r.TargetLatencyS, r.ForwardAction.TimeoutS)
+	}
+	return nil
+}
+
+// Table is the configuration: each item's newest. It is never changed once made.
+type Table struct{ items map[Name]Item }
+
+// Len is how many items there are, dropped ones among them.
+func (t Table) Len() int { return len(t.items) }
+
+// Get is an item; false: it was never told.
+func (t Table) Get(n Name) (Item, bool) { i, is := t.items[n]; return i, is }
+
+// Items are all, in a fixed order.
+func (t Table) Items() []Item {
+	l := make([]Item, 0, len(t.items))
+	for _, i := range t.items {
+		l = append(l, i)
+	}
+	sort.Slice(l, func(i, j int) bool {
+		return l[i].Kind < l[j].Kind || l[i].Kind == l[j].Kind && l[i].Name.Name < l[j].Name.Name
+	})
+	return l
+}
+
+// Merge takes what is newer; raised are the items that it changed. It never goes back, in whatever order it is told.
+func (t Table) Merge(items []Item) (_ Table, raised []Item) {
+	for _, i := range items {
+		if was, is := t.items[i.Name]; !is || i.Version > was.Version {
+			raised = append(raised, i)
+		}
+	}
+	if len(raised) == 0 {
+		return t, nil
+	}
+	next := make(map[Name]Item, len(t.items)+len(raised))
+	for n, i := range t.items {
+		next[n] = i
+	}
+	for _, i := range raised {
+		next[i.Name] = i
+	}
+	return Table{next}, raised
+}
+
+// Apply takes a call whole or not at all.
+func (t Table) Apply(items []Item) (_ Table, raised []Item, err error) {
+	called := map[string]bool{}
+	for _, i := range items {
+		if i.Kind == Service && !i.Dropped {
+			called[i.Name.Name] = true
+		}
+	}
+	for _, i := range items {
+		if i.Kind == Route && !i.Dropped {
+			var r Rule
+			if json.Unmarshal(i.Body, &r) != nil {
+				return t, nil, invalid("route "+i.Name.Name, "can't be read")
+			}
+			for _, s := range r.Services() {
+				if was, is := t.items[Name{Service, s.Service}]; !called[s.Service] && (!is || was.Dropped) {
+					return t, nil, invalid("route "+i.Name.Name, "ForwardAction: the service %q is not known", s.Service)
+				}
+			}
+		}
+		if was, is := t.items[i.Name]; is && was.Version == i.Version && !was.same(i) {
+			return t, nil, errors.WithType(errors.Errorf("%s %s: version %d has another content already", i.Kind, i.Name.Name, i.Version), ErrConflict)
+		}
+	}
+	next, raised := t.Merge(items)
+	return next, raised, nil
+}
+
+func (i Item) same(o Item) bool {
+	return i.Dropped == o.Dropped && i.Host == o.Host && bytes.Equal(i.Body, o.Body)
+}
+
+// Layout lays out the items that stand as the first call's set.
+func (t Table) Layout() Set {
+	s := Set{ListenerList: []Listener{}, UpstreamGroups: []json.RawMessage{}}
+	for _, i := range t.Items() {
+		switch {
+		case i.Dropped:
+		case i.Kind == Limits:
+			s.Limits = i.Body
+		case i.Kind == Service:
+			s.UpstreamGroups = append(s.UpstreamGroups, i.Body)
+		default:
+			n := slices.IndexFunc(s.ListenerList, func(l Listener) bool { return l.HostName == i.Host })
+			if n < 0 {
+				n = len(s.ListenerList)
+				s.ListenerList = append(s.ListenerList, Listener{HostName: i.Host})
+			}
+			s.ListenerList[n].PolicyRules = append(s.ListenerList[n].PolicyRules, i.Body)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/exchange/patch/wire.go
@@ -0,0 +1,20 @@
+package patch
+
+import "hollyspur/internal/exchange/trunk/wire"
+
+// Wire words items for the trunk, and ItemsOf reads them.
+func Wire(l []Item) *wire.ItemsT {
+	t := &wire.ItemsT{}
+	for _, i := range l {
+		t.List = append(t.List, &wire.ItemT{Kind: byte(i.Kind), Name: i.Name.Name, Version: i.Version, Dropped: i.Dropped, Host: i.Host, Body: i.Body})
+	}
+	return t
+}
+
+// ItemsOf reads items.
+func ItemsOf(t *wire.ItemsT) (l []Item) {
+	for _, i := range t.List {
+		l = append(l, Item{Name: Name{Kind: Kind(i.Kind), Name: i.Name}, Version: i.Version, Dropped: i.Dropped, Host: i.Host, Body: i.Body})
+	}
+	return l
+}
--- /dev/null
+++ b/internal/exchange/register/register.go
@@ -0,0 +1,467 @@
+// Package register puts a register together: the vault, the core with its state, trunks to the other registers and from
+// lines, and the calls of operators. One goroutine, that of Run, owns the core, the state, the vault and all tables; others
+// post to it. It decides nothing that core, patch, ticket or directory decide.
+package register
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"hollyspur/internal/exchange/core"
+	"hollyspur/internal/exchange/directory"
+	"hollyspur/internal/exchange/patch"
+	"hollyspur/internal/exchange/settings"
+	"hollyspur/internal/exchange/trunk"
+	"hollyspur/internal/exchange/trunk/wire"
+	"hollyspur/internal/exchange/vault"
+)
+
+// Times of a register.
+const (
+	beatEvery     = 100 * time.Millisecond
+	election      = 500 * time.Millisecond
+	dead          = 2 * time.Second
+	tick          = 50 * time.Millisecond
+	compactAt     = 4096                   // entries behind the snapshot
+	answerWithin  = 900 * time.Millisecond // callers move on after a second
+	vaultRest     = 100 * time.Millisecond
+	lineSilence   = 30 * time.Second // after which a line's record is dropped
+	expireEvery   = 5 * time.Second
+	mostBody      = 4 << 20 // bytes of an operator's call
+	mostPerTurn   = 256
+	applySlack    = 2 * time.Second // by which a key is held beyond its window
+	proposalsMost = 4096
+)
+
+// Register is one register.
+type Register struct {
+	set    atomic.Pointer[settings.Settings]
+	log    zerolog.Logger
+	start  time.Time
+	events chan func()
+	done   chan struct{}
+	trunks net.Listener
+	calls  net.Listener
+	server *http.Server
+	ctx    context.Context
+	asks   trunk.Asks
+	touch  atomic.Bool // the core is in touch, as of the last tick
+
+	mu    sync.Mutex       // guards links
+	links map[string]*link // to other registers, by address
+	conns sync.WaitGroup
+
+	// Owned by Run's goroutine.
+	self      core.Member
+	vault     *vault.Vault
+	core      *core.Core
+	state     state
+	logged    uint64 // last entry on disk
+	lines     map[*trunk.Conn]bool
+	dir       directory.Table
+	proposals map[uint64]proposal
+	reads     map[uint64]func(index uint64, ok bool)
+	nextRead  uint64
+	waiting   []waiting // for the state to come up to an entry
+	expired   time.Duration
+	known     map[string]bool // trunks of registers that were heard of
+	addrs     map[core.ID]string
+	told      uint64 // view that links were made for
+}
+
+type proposal struct {
+	term uint64
+	done func(outcome, bool)
+}
+
+type waiting struct {
+	index uint64
+	then  func()
+}
+
+// New opens the vault and listens.
+func New(set settings.Settings, log zerolog.Logger) (_ *Register, err error) {
+	if set.DataDir == "" {
+		return nil, errors.New("settings: DataDir is empty; a register needs a disk")
+	}
+	r := &Register{log: log, start: time.Now(), events: make(chan func(), 1024), done: make(chan struct{}), links: map[string]*link{},
+		lines: map[*trunk.Conn]bool{}, proposals: map[uint64]proposal{}, reads: map[uint64]func(uint64, bool){}, known: map[string]bool{}}
+	r.set.Store(&set)
+	r.self.Addr = set.RegisterTrunk("")
+	if err := r.open(set); err != nil {
+		return nil, err
+	}
+	if r.trunks, err = net.Listen("tcp4", r.self.Addr); err != nil {
+		return nil, errors.Annotate(err, "trunks")
+	}
+	if r.calls, err = net.Listen("tcp4", set.ListenAddrs.ControlPlane); err != nil {
+		return nil, errors.Annotate(err, "calls")
+	}
+	return r, nil
+}
+
+// founderID is the id of a register that the first seeds name: all of them have to know it before they have met.
+func founderID(addr string) core.ID {
+	h := fnv.New64a()
+	h.Write([]byte("founder " + addr))
+	return core.ID(h.Sum64() | 1)
+}
+
+func newID() core.ID {
+	var p [8]byte
+	crand.Read(p[:])
+	return core.ID(binary.LittleEndian.Uint64(p[:]) &^ 1)
+}
+
+// open opens the vault and makes the core of what it holds. A vault that can't be read is as a disk that was lost.
+func (r *Register) open(set settings.Settings) error {
+	v, held, empty, err := vault.Open(set.DataDir)
+	damaged := err != nil
+	for tries := 0; err != nil; tries++ {
+		r.log.Error().Err(err).Msg("the vault can't be opened; it is begun anew, and the others are asked")
+		if tries > 50 {
+			return err
+		}
+		if err := vault.Discard(set.DataDir); err != nil {
+			r.log.Error().Err(err).Msg("and can't be removed")
+		}
+		time.Sleep(vaultRest)
+		v, held, empty, err = vault.Open(set.DataDir)
+	}
+	r.vault = v
+	if empty {
+		held = vault.Held{Self: newID()}
+		seeds := set.Seeds()
+		if set.FirstStart && !damaged && slices.Contains(seeds, r.self.Addr) {
+			held.Self = founderID(r.self.Addr)
+			var members []core.Member
+			for _, a := range seeds {
+				members = append(members, core.Member{ID: founderID(a), Addr: a})
+			}
+			held.Snapshot = core.Found(members)
+		}
+		for {
+			if err = v.Begin(held.Self, held.Snapshot); err == nil {
+				break
+			}
+			r.log.Error().Err(err).Msg("the vault can't be written")
+			time.Sleep(vaultRest)
+			v.Reopen()
+		}
+	}
+	r.self.ID = held.Self
+	r.state.window = set.Bounds.KeyWindowS.D() + applySlack
+	if err := r.state.load(held.Snapshot.Data); err != nil {
+		return err
+	}
+	size := max(3, 2*set.FaultTolerance.Machines+1)
+	r.core = core.New(core.Config{Self: r.self, Hard: held.Hard, Snapshot: held.Snapshot, Log: held.Log, Size: size,
+		Beat: beatEvery, Election: election, Dead: dead, Seed: uint64(held.Self) ^ uint64(time.Now().UnixNano())}, r.now())
+	r.logged = held.Snapshot.Index + uint64(len(held.Log))
+	r.log.Info().Uint64("id", uint64(held.Self)).Uint64("log", r.logged).Bool("empty", empty).Msg("vault open")
+	return nil
+}
+
+// now is the steady clock.
+func (r *Register) now() time.Duration { return time.Since(r.start) }
+
+// Do has f run on Run's goroutine; after that has ended it does nothing.
+func (r *Register) Do(f func()) {
+	select {
+	case r.events <- f:
+	case <-r.done:
+	}
+}
+
+// Reload takes a settings file that has changed.
+func (r *Register) Reload(set settings.Settings) { r.set.Store(&set) }
+
+// Run serves until ctx ends, then answers what was taken.
+func (r *Register) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.ctx = work
+	r.server = r.handlers()
+	go r.server.Serve(r.calls)
+	go r.accept()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case f := <-r.events:
+			f()
+			for n := 0; n < mostPerTurn; n++ {
+				select {
+				case f := <-r.events:
+					f()
+					continue
+				default:
+				}
+				break
+			}
+		case <-ticker.C:
+			r.core.Tick(r.now())
+			r.tend()
+		case <-ctx.Done():
+			r.stop()
+			return nil
+		}
+		r.turn()
+	}
+}
+
+func (r *Register) stop() {
+	close(r.done)
+	r.trunks.Close()
+	r.server.Close()
+	for c := range r.lines {
+		c.Close(nil)
+	}
+	r.vault.Close()
+}
+
+// turn carries out what the core wants, until it wants nothing.
+func (r *Register) turn() {
+	for {
+		r.core.Flush()
+		rd := r.core.Ready()
+		if len(rd.Before)+len(rd.After)+len(rd.Committed)+len(rd.Reads) == 0 && !rd.Must() {
+			return
+		}
+		r.sendAll(rd.Before)
+		if rd.Must() {
+			r.save(rd)
+			r.core.Saved(rd)
+		}
+		r.sendAll(rd.After)
+		if rd.Snapshot != nil {
+			if err := r.state.load(rd.Snapshot.Data); err != nil {
+				r.log.Error().Err(err).Msg("a snapshot was received that can't be read")
+			}
+			r.tellLines(trunk.Encode(patch.Wire(r.state.items.Items())))
+		}
+		r.applyAll(rd.Committed)
+		for _, x := range rd.Reads {
+			if f := r.reads[x.ID]; f != nil {
+				delete(r.reads, x.ID)
+				f(x.Index, x.Index > 0)
+			}
+		}
+		r.wake()
+		if r.core.Logged() > compactAt {
+			r.compact()
+		}
+	}
+}
+
+// save writes until it is written: without the disk this register may say nothing that rests on it.
+func (r *Register) save(rd core.Ready) {
+	for tries := 0; ; tries++ {
+		err := r.vault.Save(rd, r.logged)
+		if err == nil {
+			break
+		}
+		if tries%10 == 0 {
+			r.log.Error().Err(err).Int("tries", tries).Msg("the vault can't be written; nothing is acknowledged meanwhile")
+		}
+		select {
+		case <-time.After(vaultRest):
+		case <-r.ctx.Done():
+			return
+		}
+		if err := r.vault.Reopen(); err != nil && tries%10 == 0 {
+			r.log.Error().Err(err).Msg("the vault can't be opened again")
+		}
+	}
+	if n := len(rd.Entries); n > 0 {
+		r.logged = rd.Entries[n-1].Index
+	} else if rd.Snapshot != nil {
+		r.logged = rd.Snapshot.Index
+	}
+}
+
+func (r *Register) applyAll(l []core.Entry) {
+	for _, e := range l {
+		var o outcome
+		if e.Kind == core.Change {
+			o = r.state.apply(e.Stamp, e.Data)
+		}
+		if len(o.raised) > 0 {
+			if r.core.Leads() {
+				r.core.Tell(r.now())
+			}
+			r.tellLines(trunk.Encode(patch.Wire(o.raised)))
+		}
+		if p, is := r.proposals[e.Index]; is {
+			delete(r.proposals, e.Index)
+			p.done(o, p.term == e.Term)
+		}
+	}
+}
+
+// wake calls those that waited for what is applied by now.
+func (r *Register) wake() {
+	at := r.core.Applied()
+	r.waiting = slices.DeleteFunc(r.waiting, func(w waiting) bool {
+		if w.index > at {
+			return false
+		}
+		w.then()
+		return true
+	})
+}
+
+func (r *Register) compact() {
+	at := r.core.Applied()
+	from := uint64(0) // no more than where the log begins
+	if n := uint64(r.core.Logged()); at > n {
+		from = at - n
+	}
+	s := r.core.Compact(at, r.state.save())
+	if err := r.vault.Compact(s, from); err != nil {
+		r.log.Error().Err(err).Msg("the vault can't be written")
+		r.vault.Reopen()
+	}
+}
+
+// propose has a change agreed on; done is called on Run's goroutine. known false: it may or may not be.
+func (r *Register) propose(data []byte, done func(o outcome, known bool)) bool {
+	if len(r.proposals) > proposalsMost {
+		return false
+	}
+	index, term, ok := r.core.Propose(r.now(), data)
+	if !ok {
+		return false
+	}
+	if p, is := r.proposals[index]; is { // of a term in which this one led before
+		p.done(outcome{}, false)
+	}
+	r.proposals[index] = proposal{term, done}
+	return true
+}
+
+// confirm finds out up to which entry must be applied, so that nothing acknowledged is missing.
+func (r *Register) confirm(done func(index uint64, ok bool)) {
+	if r.core.Leads() {
+		r.nextRead++
+		id := r.nextRead
+		if !r.core.Ask(r.now(), id) {
+			done(0, false)
+			return
+		}
+		r.reads[id] = done
+		return
+	}
+	l := r.leader()
+	if l == nil {
+		done(0, false)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, answerWithin)
+		defer cancel()
+		t, err := l.ask(ctx, trunk.AskRead, nil)
+		r.Do(func() {
+			if err != nil || t.Status != http.StatusOK || len(t.Body) != 8 {
+				done(0, false)
+				return
+			}
+			done(binary.BigEndian.Uint64(t.Body), true)
+		})
+	}()
+}
+
+// confirmed calls done once the state holds all that was acknowledged when it was asked.
+func (r *Register) confirmed(done func(ok bool)) {
+	r.confirm(func(index uint64, ok bool) {
+		if !ok {
+			done(false)
+			return
+		}
+		r.waiting = append(r.waiting, waiting{index, func() { done(true) }})
+		r.wake()
+	})
+}
+
+// tend sees to what time does to the tables.
+func (r *Register) tend() {
+	now := r.now()
+	r.touch.Store(r.core.InTouch(now) && !r.core.Outside())
+	members, view := r.core.Members()
+	if view != r.told {
+		r.told = view
+		for _, m := range members {
+			r.known[m.Addr] = true
+		}
+		r.tellLines(trunk.Encode(r.members()))
+	}
+	for _, a := range r.set.Load().Seeds() {
+		r.known[a] = true
+	}
+	delete(r.known, r.self.Addr)
+	if r.core.Outside() {
+		for a := range r.known { // it may know nobody but by address
+			r.link(a).send(&wire.VoteT{Kind: byte(core.Join), From: uint64(r.self.ID), Addr: r.self.Addr})
+		}
+	}
+	if now-r.expired > expireEvery && r.core.InTouch(now) {
+		r.expired = now
+		r.dir, _ = r.dir.Expire(now, lineSilence)
+	}
+}
+
+// members are the trunks of the registers, for lines.
+func (r *Register) members() *wire.MembersT {
+	l, view := r.core.Members()
+	return &wire.MembersT{List: vault.WireMembers(l), Index: view}
+}
+
+// tellLines sends a frame to every line.
+func (r *Register) tellLines(frame []byte) {
+	for c := range r.lines {
+		c.SendFrame(frame)
+	}
+}
+
+// takeRecords merges records that a line told, or another register.
+func (r *Register) takeRecords(l []directory.Record, from *trunk.Conn, direct bool) {
+	var news []directory.Record
+	r.dir, news = r.dir.Merge(r.now(), l)
+	if direct && from != nil { // one that started with a clock set back learns that a later life of it is known
+		for _, x := range l {
+			if held, is := r.dir.Get(x.Addr); is && held.Life > x.Life {
+				from.Send(directory.Wire([]directory.Record{held}))
+			}
+		}
+	}
+	if len(news) == 0 {
+		return
+	}
+	frame := trunk.Encode(directory.Wire(news))
+	r.tellLines(frame)
+	if direct {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, l := range r.links {
+			l.sendFrame(frame)
+		}
+	}
+}
+
+// table is all items, worded.
+func (r *Register) table() *wire.ItemsT {
+	t := patch.Wire(r.state.items.Items())
+	t.Whole, t.Index = true, r.core.Applied()
+	return t
+}
--- /dev/null
+++ b/internal/exchange/register/state.go
@@ -0,0 +1,101 @@
+package register
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"hollyspur/internal/exchange/patch"
+	"hollyspur/internal/exchange/ticket"
+	"hollyspur/internal/exchange/trunk"
+	"hollyspur/internal/exchange/trunk/wire"
+)
+
+// state is what the registers agree on: the items and the keys. It changes by committed entries alone, and the same
+// entries make the same state everywhere.
+type state struct {
+	window  time.Duration
+	items   patch.Table
+	tickets *ticket.Book
+}
+
+// Kinds of changes, the first byte of an entry's data.
+const (
+	changeItems  byte = 1
+	changeClaims byte = 2
+)
+
+// change words a change for the log.
+func change(kind byte, t trunk.Packer) []byte { return append([]byte{kind}, trunk.Bytes(t)...) }
+
+// outcome is what became of a change.
+type outcome struct {
+	raised []patch.Item // of items: those that are newer now
+	err    error        // of items: why none of them was taken
+	grants []ticket.Grant
+}
+
+// apply takes a committed change.
+func (s *state) apply(at time.Duration, data []byte) (o outcome) {
+	if len(data) == 0 {
+		return o
+	}
+	// A copy: the trunk's tables need their bytes aligned as they were made.
+	body := append([]byte(nil), data[1:]...)
+	switch data[0] {
+	case changeItems:
+		t, err := trunk.Parse(body, func(p []byte) *wire.ItemsT { return wire.GetRootAsItems(p, 0).UnPack() })
+		if err != nil {
+			return outcome{err: err}
+		}
+		s.items, o.raised, o.err = s.items.Apply(patch.ItemsOf(t))
+	case changeClaims:
+		t, err := trunk.Parse(body, func(p []byte) *wire.ClaimsT { return wire.GetRootAsClaims(p, 0).UnPack() })
+		if err != nil {
+			return outcome{err: err}
+		}
+		for _, c := range t.List {
+			o.grants = append(o.grants, s.tickets.Take(at, ticket.Claim{Key: c.Key, Ticket: c.Ticket, Nth: c.Nth, Holder: c.Holder, Release: c.Release}))
+		}
+	}
+	return o
+}
+
+// save words the state for a snapshot, load reads it.
+func (s *state) save() []byte {
+	t := &wire.StateT{Items: patch.Wire(s.items.Items()).List}
+	for _, h := range s.tickets.All() {
+		t.Tickets = append(t.Tickets, &wire.TicketT{Key: h.Key, Ticket: h.Ticket, Nth: h.Nth, Holder: h.Holder, Stamp: int64(h.Stamp)})
+	}
+	return trunk.Bytes(t)
+}
+
+func (s *state) load(data []byte) error {
+	s.items, s.tickets = patch.Table{}, ticket.New(s.window)
+	if len(data) == 0 {
+		return nil
+	}
+	t, err := trunk.Parse(data, func(p []byte) *wire.StateT { return wire.GetRootAsState(p, 0).UnPack() })
+	if err != nil {
+		return errors.Annotate(err, "the state of a snapshot")
+	}
+	s.items, _ = s.items.Merge(patch.ItemsOf(&wire.ItemsT{List: t.Items}))
+	var held []ticket.Held
+	for _, h := range t.Tickets {
+		held = append(held, ticket.Held{Claim: ticket.Claim{Key: h.Key, Ticket: h.Ticket, Nth: h.Nth, Holder: h.Holder}, Stamp: time.Duration(h.Stamp)})
+	}
+	s.tickets = ticket.Load(s.window, held)
+	return nil
+}
+
+// statusOf words why a call was not taken.
+func statusOf(err error) (int, string) {
+	switch {
+	case errors.Is(err, patch.ErrConflict):
+		return http.StatusConflict, err.Error()
+	case errors.Is(err, patch.ErrInvalid):
+		return http.StatusBadRequest, err.Error()
+	}
+	return http.StatusServiceUnavailable, err.Error()
+}
--- /dev/null
+++ b/internal/exchange/settings/settings.go
@@ -0,0 +1,153 @@
+// Package settings reads the file that the platform gives each process: YAML, checked by struct tags. Fields that are not
+// known are skipped.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/juju/errors"
+	"sigs.k8s.io/yaml"
+)
+
+// Env names the environment variable that holds the file's path.
+const Env = "CRANEGRADE_NODE_FILE"
+
+// Seconds is a time as the file gives it.
+type Seconds float64
+
+// D is the time.
+func (s Seconds) D() time.Duration { return time.Duration(float64(s) * float64(time.Second)) }
+
+// Settings are what a process is told.
+type Settings struct {
+	NodeName          string            `json:"NodeName" validate:"required,max=256"`
+	NodeRole          string            `json:"NodeRole"`
+	MachineClass      string            `json:"MachineClass"`
+	ServedRoles       []string          `json:"ServedRoles"`
+	IPAddress         string            `json:"IpAddress" validate:"required,ip4_addr"`
+	Zone              string            `json:"Zone" validate:"max=256"`
+	Region            string            `json:"Region"`
+	Zones             map[string]string `json:"Zones"`
+	ListenAddrs       Listen            `json:"ListenAddrs"`
+	InternalPortRange []int             `json:"InternalPortRange" validate:"len=2,dive,gt=0,lt=65536"`
+	SeedNodes         []string          `json:"SeedNodes" validate:"max=64,dive,hostname_port"`
+	FirstStart        bool              `json:"FirstStart"`
+	QuorumMember      bool              `json:"QuorumMember"`
+	Limits            Limits            `json:"Limits"`
+	DataDir           string            `json:"DataDir"`
+	HeartbeatS        Seconds           `json:"HeartbeatS" validate:"gte=0,lte=3600"`
+	ActiveContracts   []string          `json:"ActiveContracts"`
+	FaultTolerance    Tolerance         `json:"FaultTolerance"`
+	Bounds            Bounds            `json:"Bounds"`
+	AppAddress        string            `json:"AppAddress" validate:"omitempty,hostname_port"`
+	Service           string            `json:"Service" validate:"max=256"`
+}
+
+// Listen are the addresses for what the role serves.
+type Listen struct {
+	Inbound      string `json:"Inbound" validate:"omitempty,hostname_port"`
+	Outbound     string `json:"Outbound" validate:"omitempty,hostname_port"`
+	Readiness    string `json:"Readiness" validate:"omitempty,hostname_port"`
+	ControlPlane string `json:"ControlPlane" validate:"omitempty,hostname_port"`
+}
+
+// Limits are the process's own.
+type Limits struct {
+	CPUShare  float64 `json:"CpuShare" validate:"gte=0"`
+	CoreCount float64 `json:"CoreCount" validate:"gte=0"`
+	MemoryMB  float64 `json:"MemoryMb" validate:"gte=0"`
+	MaxFds    int     `json:"MaxFds" validate:"gte=0"`
+	LinkMbps  float64 `json:"LinkMbps" validate:"gte=0"`
+	DiskMB    float64 `json:"DiskMb" validate:"gte=0"`
+}
+
+// Tolerance is what may be lost at once.
+type Tolerance struct {
+	Machines int `json:"Machines" validate:"gte=0,lte=100"`
+	Zones    int `json:"Zones" validate:"gte=0,lte=100"`
+	Regions  int `json:"Regions" validate:"gte=0,lte=100"`
+}
+
+// Bounds are the rules' figures. One that is not told is the default of Defaults.
+type Bounds struct {
+	AddrReuseS       Seconds `json:"AddrReuseS" validate:"gte=0"`
+	ContactS         Seconds `json:"ContactS" validate:"gte=0"`
+	AckS             Seconds `json:"AckS" validate:"gt=0"`
+	DrainS           Seconds `json:"DrainS" validate:"gte=0"`
+	GraceS           Seconds `json:"GraceS" validate:"gt=0"`
+	LossSlackS       Seconds `json:"LossSlackS" validate:"gte=0"`
+	ConfigApplyS     Seconds `json:"ConfigApplyS" validate:"gt=0"`
+	RetryBudgetRatio float64 `json:"RetryBudgetRatio" validate:"gte=0,lte=100"`
+	RetryWindowS     Seconds `json:"RetryWindowS" validate:"gt=0"`
+	RetrySlack       float64 `json:"RetrySlack" validate:"gte=0"`
+	KeyWindowS       Seconds `json:"KeyWindowS" validate:"gt=0,lte=86400"`
+}
+
+// Defaults are the bounds that hold where the file names none.
+func Defaults() Settings {
+	return Settings{HeartbeatS: 1.5, Bounds: Bounds{AddrReuseS: 2, ContactS: 3, AckS: 5, DrainS: 2, GraceS: 6, LossSlackS: 0.2,
+		ConfigApplyS: 2, RetryBudgetRatio: 0.2, RetryWindowS: 10, RetrySlack: 50, KeyWindowS: 60}, FaultTolerance: Tolerance{Machines: 1}}
+}
+
+var check = validator.New(validator.WithRequiredStructEnabled())
+
+// Parse reads a file's text. The error names the field at fault.
+func Parse(text []byte) (Settings, error) {
+	s := Defaults()
+	if err := yaml.Unmarshal(text, &s); err != nil {
+		return Settings{}, errors.Annotate(err, "settings")
+	}
+	if err := check.Struct(s); err != nil {
+		if bad, is := err.(validator.ValidationErrors); is {
+			return Settings{}, errors.Errorf("settings: %s is %v; wanted: %s %s", strings.TrimPrefix(bad[0].Namespace(), "Settings."),
+				bad[0].Value(), bad[0].Tag(), bad[0].Param())
+		}
+		return Settings{}, errors.Annotate(err, "settings")
+	}
+	if s.InternalPortRange[1] < s.InternalPortRange[0]+1 {
+		return Settings{}, errors.Errorf("settings: InternalPortRange is %v; wanted: two ports or more", s.InternalPortRange)
+	}
+	return s, nil
+}
+
+// Path is the file's, from the environment.
+func Path() (string, error) {
+	if p := os.Getenv(Env); p != "" {
+		return p, nil
+	}
+	return "", errors.Errorf("settings: %s is not set", Env)
+}
+
+// Load reads the file.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Annotate(err, "settings")
+	}
+	return Parse(text)
+}
+
+// RegisterPort is where registers listen for trunks, the same on all machines.
+func (s Settings) RegisterPort() int { return s.InternalPortRange[0] }
+
+// RegisterTrunk is the address of the register at a ControlPlane address, or at this machine if that is empty.
+func (s Settings) RegisterTrunk(control string) string {
+	host := s.IPAddress
+	if control != "" {
+		host, _, _ = net.SplitHostPort(control)
+	}
+	return fmt.Sprintf("%s:%d", host, s.RegisterPort())
+}
+
+// Seeds are the trunks of the registers that the file names.
+func (s Settings) Seeds() (l []string) {
+	for _, a := range s.SeedNodes {
+		l = append(l, s.RegisterTrunk(a))
+	}
+	return l
+}
--- /dev/null
+++ b/internal/exchange/switchroom/switchroom.go
@@ -0,0 +1,122 @@
+// Package switchroom is what the mesh's programs share round their roles: the command line, the settings file and its
+// changes, signals, logs and exit codes.
+package switchroom
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+
+	"hollyspur/internal/exchange/howler"
+	"hollyspur/internal/exchange/settings"
+)
+
+// Role is what a program runs.
+type Role interface {
+	Run(ctx context.Context) error
+	Reload(settings.Settings)
+}
+
+// Options are the command line.
+type Options struct {
+	Settings string `short:"s" long:"settings" value-name:"FILE" description:"the settings file; else the one that $CRANEGRADE_NODE_FILE names"`
+	Check    bool   `long:"check" description:"check the settings file and end"`
+	Verbose  bool   `short:"v" long:"verbose" description:"write every line of the log, not only the ring when something goes wrong"`
+}
+
+const lookEvery = time.Second // at the settings file, which may change without a signal
+
+// Main runs a program and gives its exit code: 0 ended by a signal, 1 a fault, 2 the command line or the settings.
+func Main(name string, make func(settings.Settings, zerolog.Logger) (Role, error)) int {
+	hup, end := ask()
+	var o Options
+	if _, err := flags.NewParser(&o, flags.Default).Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return 0
+		}
+		return 2
+	}
+	path, err := o.Settings, error(nil)
+	if path == "" {
+		path, err = settings.Path()
+	}
+	set, text := settings.Settings{}, []byte(nil)
+	if err == nil {
+		set, text, err = read(path)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return 2
+	}
+	if o.Check {
+		fmt.Printf("%s: %s is fine\n", name, path)
+		return 0
+	}
+	debug.SetGCPercent(50)
+	if mb := set.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(mb*0.8) << 20)
+	}
+	log, ring := howler.New(os.Stderr, set.NodeName)
+	if o.Verbose {
+		log = zerolog.New(os.Stderr).With().Timestamp().Str("at", set.NodeName).Logger()
+	}
+	role, err := make(set, log)
+	if err != nil {
+		log.Error().Err(err).Msg("start")
+		return 1
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		look := time.NewTicker(lookEvery)
+		defer look.Stop()
+		for {
+			select {
+			case <-end:
+				cancel()
+				return
+			case <-hup:
+			case <-look.C:
+			}
+			s, t, err := read(path)
+			if string(t) == string(text) {
+				continue
+			}
+			if text = t; err != nil {
+				log.Error().Err(err).Msg("the settings file has changed and can't be read; the old ones hold")
+				continue
+			}
+			role.Reload(s)
+		}
+	}()
+	if err := role.Run(ctx); err != nil {
+		log.Error().Err(err).Msg("end")
+		ring.Flush()
+		return 1
+	}
+	return 0
+}
+
+// ask asks for the signals, first thing: SIGHUP ends a process that has not.
+func ask() (hup, end chan os.Signal) {
+	hup, end = make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	signal.Notify(end, syscall.SIGTERM, syscall.SIGINT)
+	return hup, end
+}
+
+func read(path string) (settings.Settings, []byte, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return settings.Settings{}, nil, err
+	}
+	s, err := settings.Parse(text)
+	return s, text, err
+}
--- /dev/null
+++ b/internal/exchange/ticket/ticket.go
@@ -0,0 +1,98 @@
+// Package ticket is which keyed request may run: the first that claims a key holds it for its window, whatever becomes of
+// it, but where whoever holds it says that it never ran. It is pure, and part of the state that the registers agree on:
+// its time is the log's, which goes on only while there is a leader and never faster than the time, so that no window
+// ends too soon.
+package ticket
+
+import (
+	"sort"
+	"time"
+)
+
+// Claim asks for a key. Nth counts the servers that this ticket was sent to: whoever sends it to another has the word of
+// the one before that it never ran there.
+type Claim struct {
+	Key, Ticket string
+	Nth         uint32
+	Holder      string // the line beside the server
+	Release     bool   // that of this ticket never ran
+}
+
+// Held is who holds a key.
+type Held struct {
+	Claim
+	Stamp time.Duration
+}
+
+// Grant is the answer to a claim.
+type Grant struct {
+	Granted bool
+	Held    Held // by whom, if not
+}
+
+// Book is the keys that are held.
+type Book struct {
+	window time.Duration
+	held   map[string]Held
+	swept  time.Duration
+}
+
+// New returns a book in which a key is held for so long.
+func New(window time.Duration) *Book { return &Book{window: window, held: map[string]Held{}} }
+
+// Load is New with what a book held.
+func Load(window time.Duration, l []Held) *Book {
+	b := New(window)
+	for _, h := range l {
+		b.held[h.Key] = h
+	}
+	return b
+}
+
+// All is what is held, in a fixed order.
+func (b *Book) All() []Held {
+	l := make([]Held, 0, len(b.held))
+	for _, h := range b.held {
+		l = append(l, h)
+	}
+	sort.Slice(l, func(i, j int) bool { return l[i].Key < l[j].Key })
+	return l
+}
+
+// Len is how many keys are held.
+func (b *Book) Len() int { return len(b.held) }
+
+// Take takes a claim at a log time.
+func (b *Book) Take(now time.Duration, c Claim) Grant {
+	b.sweep(now)
+	h, is := b.held[c.Key]
+	if is && now-h.Stamp > b.window {
+		is = false
+	}
+	switch {
+	case c.Release:
+		if is && h.Ticket == c.Ticket && h.Nth == c.Nth {
+			delete(b.held, c.Key)
+		}
+		return Grant{Granted: true}
+	case !is,
+		h.Ticket == c.Ticket && h.Nth < c.Nth,
+		h.Ticket == c.Ticket && h.Nth == c.Nth && h.Holder == c.Holder: // it asks again, for want of an answer
+		b.held[c.Key] = Held{c, now}
+		return Grant{Granted: true}
+	}
+	return Grant{Held: h}
+}
+
+// sweep forgets what is past its window, now and then.
+func (b *Book) sweep(now time.Duration) {
+	if now-b.swept < b.window/8 {
+		return
+	}
+	b.swept = now
+	for k, h := range b.held {
+		if now-h.Stamp > b.window {
+			delete(b.held, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/exchange/trunk/trunk.go
@@ -0,0 +1,339 @@
+// Package trunk is the connections between the mesh's own processes: frames of FlatBuffers (wire.fbs) over TCP, beats both
+// ways, a deadline on every write, and an end as soon as the other side says nothing for too long. It carries what it is
+// given and decides nothing.
+package trunk
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	flatbuffers "github.com/google/flatbuffers/go"
+	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
+
+	"hollyspur/internal/exchange/trunk/wire"
+)
+
+// Version is what Hello tells. A process takes any other: fields are only ever added.
+const Version = 1
+
+// Limits of a connection.
+const (
+	mostFrame   = 4 << 20 // bytes of one frame
+	mostQueued  = 8 << 20 // bytes that wait to be written; beyond that the other side does not read
+	writeWithin = 2 * time.Second
+	DialWithin  = 800 * time.Millisecond
+	Every       = 300 * time.Millisecond // beats
+	Silence     = 1200 * time.Millisecond
+)
+
+// Errors of this layer.
+var (
+	ErrClosed  = errors.New("the trunk is closed")
+	ErrQueue   = errors.New("the other side of the trunk does not read")
+	ErrFrame   = errors.New("malformed frame")
+	ErrVersion = errors.New("no hello")
+)
+
+// Message is one of the tables of the union Body, as flatc's objects.
+type Message struct {
+	Type  wire.Body
+	Value any
+}
+
+// Wrap names a message's type.
+func Wrap(v any) Message {
+	switch v.(type) {
+	case *wire.HelloT:
+		return Message{wire.BodyHello, v}
+	case *wire.BeatT:
+		return Message{wire.BodyBeat, v}
+	case *wire.RequestT:
+		return Message{wire.BodyRequest, v}
+	case *wire.PieceT:
+		return Message{wire.BodyPiece, v}
+	case *wire.AnswerT:
+		return Message{wire.BodyAnswer, v}
+	case *wire.CreditT:
+		return Message{wire.BodyCredit, v}
+	case *wire.CancelT:
+		return Message{wire.BodyCancel, v}
+	case *wire.RecordsT:
+		return Message{wire.BodyRecords, v}
+	case *wire.ItemsT:
+		return Message{wire.BodyItems, v}
+	case *wire.MembersT:
+		return Message{wire.BodyMembers, v}
+	case *wire.VoteT:
+		return Message{wire.BodyVote, v}
+	case *wire.AskT:
+		return Message{wire.BodyAsk, v}
+	case *wire.ToldT:
+		return Message{wire.BodyTold, v}
+	}
+	panic("trunk: no message")
+}
+
+var builders = sync.Pool{New: func() any { return flatbuffers.NewBuilder(1 << 10) }}
+
+// Encode makes a frame of a message: its length in four bytes, and the buffer.
+func Encode(v any) []byte {
+	m := Wrap(v)
+	b := builders.Get().(*flatbuffers.Builder)
+	b.Reset()
+	f := wire.FrameT{Body: &wire.BodyT{Type: m.Type, Value: m.Value}}
+	b.Finish(f.Pack(b))
+	p := b.FinishedBytes()
+	out := make([]byte, 4+len(p))
+	binary.LittleEndian.PutUint32(out, uint32(len(p)))
+	copy(out[4:], p)
+	if cap(b.Bytes) <= 64<<10 {
+		builders.Put(b)
+	}
+	return out
+}
+
+// Packer is any of flatc's objects.
+type Packer interface {
+	Pack(*flatbuffers.Builder) flatbuffers.UOffsetT
+}
+
+// Bytes is a table by itself, for the body of an Ask or a record on disk.
+func Bytes(t Packer) []byte {
+	b := flatbuffers.NewBuilder(256)
+	b.Finish(t.Pack(b))
+	return b.FinishedBytes()
+}
+
+// Parse has read a table out of bytes that may be anything; an offset that leads nowhere is ErrFrame.
+func Parse[T any](p []byte, read func([]byte) T) (v T, err error) {
+	defer func() {
+		if recover() != nil {
+			err = ErrFrame
+		}
+	}()
+	if len(p) < 8 {
+		return v, ErrFrame
+	}
+	return read(p), nil
+}
+
+// Decode reads a frame without its length.
+func Decode(p []byte) (Message, error) {
+	return Parse(p, func(p []byte) Message {
+		f := wire.GetRootAsFrame(p, 0).UnPack()
+		if f.Body == nil {
+			return Message{}
+		}
+		return Message{f.Body.Type, f.Body.Value}
+	})
+}
+
+// Conn is one connection. Send may be called from any goroutine; Receive from one.
+type Conn struct {
+	nc    net.Conn
+	r     *bufio.Reader
+	Peer  *wire.HelloT // what the dialler told; on the dialling side what it told itself
+	Since time.Time
+	beat  func() []byte
+	heard atomic.Int64 // Unix ns of the latest frame
+
+	mu     sync.Mutex // guards below
+	queue  [][]byte
+	queued int
+	err    error
+	wake   chan struct{}
+	done   chan struct{}
+}
+
+func newConn(nc net.Conn, beat func() *wire.BeatT) *Conn {
+	c := &Conn{nc: nc, r: bufio.NewReaderSize(nc, 16<<10), Since: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{})}
+	c.beat = func() []byte { return Encode(&wire.BeatT{}) }
+	if beat != nil {
+		c.beat = func() []byte { return Encode(beat()) }
+	}
+	c.heard.Store(time.Now().UnixNano())
+	go c.write()
+	return c
+}
+
+// hasten has a connection whose other side lost power end soon, also while bytes are under way.
+func hasten(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(Silence/time.Millisecond))
+	})
+}
+
+// Dial opens a connection and says who calls. beat makes the beats; nil: plain ones.
+func Dial(ctx context.Context, addr string, hello *wire.HelloT, beat func() *wire.BeatT) (*Conn, error) {
+	d := net.Dialer{Timeout: DialWithin, Control: hasten, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return nil, errors.Annotatef(err, "trunk to %s", addr)
+	}
+	c := newConn(nc, beat)
+	c.Peer = hello
+	hello.Version = Version
+	c.Send(hello)
+	return c, nil
+}
+
+// Accept takes a connection over and reads who calls.
+func Accept(nc net.Conn, beat func() *wire.BeatT) (*Conn, error) {
+	if t, is := nc.(*net.TCPConn); is {
+		if raw, err := t.SyscallConn(); err == nil {
+			hasten("", "", raw)
+		}
+		t.SetKeepAlive(false)
+	}
+	c := newConn(nc, beat)
+	m, err := c.Receive()
+	if err == nil {
+		if c.Peer, _ = m.Value.(*wire.HelloT); c.Peer == nil {
+			err = ErrVersion
+		}
+	}
+	if err != nil {
+		c.Close(err)
+		return nil, err
+	}
+	return c, nil
+}
+
+// Send queues a message. It does not wait; where the other side does not read, the connection ends.
+func (c *Conn) Send(v any) error { return c.SendFrame(Encode(v)) }
+
+// SendFrame is Send for what Encode made before.
+func (c *Conn) SendFrame(p []byte) error {
+	c.mu.Lock()
+	if c.err != nil {
+		c.mu.Unlock()
+		return ErrClosed
+	}
+	if c.queued+len(p) > mostQueued {
+		c.mu.Unlock()
+		c.Close(ErrQueue)
+		return ErrQueue
+	}
+	c.queue = append(c.queue, p)
+	c.queued += len(p)
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// write writes what is queued, all that there is at a time, and beats where nothing else was to be said.
+func (c *Conn) write() {
+	tick := time.NewTicker(Every)
+	defer tick.Stop()
+	idle := false
+	for {
+		var out net.Buffers
+		select {
+		case <-c.done:
+			return
+		case <-c.wake:
+		case <-tick.C:
+			if time.Since(time.Unix(0, c.heard.Load())) > Silence {
+				c.Close(errors.New("the other side of the trunk is silent"))
+				return
+			}
+			if !idle {
+				idle = true
+				continue
+			}
+			out = append(out, c.beat())
+		}
+		c.mu.Lock()
+		out = append(out, c.queue...)
+		c.queue, c.queued = nil, 0
+		c.mu.Unlock()
+		if len(out) == 0 {
+			continue
+		}
+		idle = false
+		c.nc.SetWriteDeadline(time.Now().Add(writeWithin))
+		var err error
+		if len(out) == 1 {
+			_, err = c.nc.Write(out[0])
+		} else {
+			_, err = out.WriteTo(c.nc)
+		}
+		if err != nil {
+			c.Close(err)
+			return
+		}
+	}
+}
+
+// Receive waits for the next message that is no plain beat of a line.
+func (c *Conn) Receive() (Message, error) {
+	for {
+		var head [4]byte
+		if _, err := io.ReadFull(c.r, head[:]); err != nil {
+			c.Close(err)
+			return Message{}, err
+		}
+		n := binary.LittleEndian.Uint32(head[:])
+		if n > mostFrame {
+			c.Close(ErrFrame)
+			return Message{}, ErrFrame
+		}
+		p := make([]byte, n)
+		if _, err := io.ReadFull(c.r, p); err != nil {
+			c.Close(err)
+			return Message{}, err
+		}
+		c.heard.Store(time.Now().UnixNano())
+		m, err := Decode(p)
+		if err != nil {
+			c.Close(err)
+			return Message{}, err
+		}
+		if m.Type == wire.BodyNONE {
+			continue // of a later version
+		}
+		return m, nil
+	}
+}
+
+// Close ends the connection, for that reason; only the first counts.
+func (c *Conn) Close(why error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err == nil {
+		c.err = why
+		if why == nil {
+			c.err = ErrClosed
+		}
+		close(c.done)
+		c.nc.Close()
+	}
+}
+
+// Done is closed with the connection.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// Err is why it ended.
+func (c *Conn) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// Flushed says that nothing waits to be written.
+func (c *Conn) Flushed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue) == 0
+}
--- /dev/null
+++ b/internal/exchange/vault/vault.go
@@ -0,0 +1,247 @@
+// Package vault is the one that opens a register's data folder: goleveldb, every write synced before it returns, every
+// value with a checksum, a format with a version. A store that can't be opened or read is as good as none: the caller
+// begins anew with another id and is taken in again by the others.
+//
+// Keys: "format" the version; "self" the id; "hard" term and vote; "snap" the snapshot; "e" and eight bytes an entry.
+package vault
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+	"github.com/syndtr/goleveldb/leveldb"
+	"github.com/syndtr/goleveldb/leveldb/opt"
+	"github.com/syndtr/goleveldb/leveldb/util"
+
+	"hollyspur/internal/exchange/core"
+	"hollyspur/internal/exchange/trunk"
+	"hollyspur/internal/exchange/trunk/wire"
+)
+
+// Format is the version that this program writes; it reads no other.
+const Format = 1
+
+// Errors of this layer.
+const (
+	ErrDamaged = errors.ConstError("the store is damaged")
+	ErrFormat  = errors.ConstError("the store is of another format")
+	ErrWrite   = errors.ConstError("the store can't be written")
+)
+
+// Vault is an open store. It belongs to one goroutine.
+type Vault struct {
+	path string
+	db   *leveldb.DB
+	sync opt.WriteOptions
+}
+
+// Held is what a store holds.
+type Held struct {
+	Self     core.ID
+	Hard     core.Hard
+	Snapshot core.Snapshot
+	Log      []core.Entry
+}
+
+func options() *opt.Options {
+	return &opt.Options{WriteBuffer: 1 << 20, BlockCacheCapacity: 256 << 10, OpenFilesCacheCapacity: 32,
+		CompactionTableSize: 1 << 20, Compression: opt.NoCompression, Strict: opt.StrictJournal | opt.StrictJournalChecksum}
+}
+
+// Open opens the store in a folder, or makes one; empty: it holds nothing yet.
+func Open(dir string) (v *Vault, held Held, empty bool, err error) {
+	v = &Vault{path: filepath.Join(dir, "vault"), sync: opt.WriteOptions{Sync: true}}
+	if v.db, err = leveldb.OpenFile(v.path, options()); err != nil {
+		return nil, Held{}, false, errors.WithType(err, ErrDamaged)
+	}
+	if held, empty, err = v.read(); err != nil {
+		v.db.Close()
+		return nil, Held{}, false, err
+	}
+	return v, held, empty, nil
+}
+
+// OpenReadOnly is Open for an inspector: nothing is written.
+func OpenReadOnly(dir string) (held Held, empty bool, err error) {
+	o := options()
+	o.ReadOnly, o.ErrorIfMissing = true, true
+	v := &Vault{path: filepath.Join(dir, "vault")}
+	if v.db, err = leveldb.OpenFile(v.path, o); err != nil {
+		return Held{}, false, errors.WithType(err, ErrDamaged)
+	}
+	defer v.db.Close()
+	return v.read()
+}
+
+// Discard removes a store that can't be opened, so that Open makes a new one.
+func Discard(dir string) error { return os.RemoveAll(filepath.Join(dir, "vault")) }
+
+// Close closes the store.
+func (v *Vault) Close() {
+	if v.db != nil {
+		v.db.Close()
+	}
+}
+
+// Reopen opens the store again: once a write was refused goleveldb refuses all, also when there is room again.
+func (v *Vault) Reopen() error {
+	v.Close()
+	v.db = nil
+	db, err := leveldb.OpenFile(v.path, options())
+	if err != nil {
+		return errors.WithType(err, ErrWrite)
+	}
+	v.db = db
+	return nil
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func seal(p []byte) []byte {
+	out := binary.LittleEndian.AppendUint32(make([]byte, 0, len(p)+4), crc32.Checksum(p, castagnoli))
+	return append(out, p...)
+}
+
+func (v *Vault) get(key string) ([]byte, error) {
+	p, err := v.db.Get([]byte(key), nil)
+	if err == leveldb.ErrNotFound {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.WithType(err, ErrDamaged)
+	}
+	return unseal(p)
+}
+
+func unseal(p []byte) ([]byte, error) {
+	if len(p) < 4 || crc32.Checksum(p[4:], castagnoli) != binary.LittleEndian.Uint32(p) {
+		return nil, ErrDamaged
+	}
+	return p[4:], nil
+}
+
+func number(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
+
+func entryKey(index uint64) []byte { return append([]byte("e"), number(index)...) }
+
+func (v *Vault) read() (h Held, empty bool, err error) {
+	format, err := v.get("format")
+	if err != nil {
+		return h, false, err
+	}
+	if format == nil {
+		return h, true, nil
+	}
+	if len(format) != 8 || binary.BigEndian.Uint64(format) != Format {
+		return h, false, ErrFormat
+	}
+	self, err := v.get("self")
+	if err != nil || len(self) != 8 {
+		return h, false, ErrDamaged
+	}
+	h.Self = core.ID(binary.BigEndian.Uint64(self))
+	hard, err := v.get("hard")
+	if err != nil || len(hard) != 16 {
+		return h, false, ErrDamaged
+	}
+	h.Hard = core.Hard{Term: binary.BigEndian.Uint64(hard), Vote: core.ID(binary.BigEndian.Uint64(hard[8:]))}
+	snap, err := v.get("snap")
+	if err != nil {
+		return h, false, err
+	}
+	if snap != nil {
+		s, err := trunk.Parse(snap, func(p []byte) *wire.SnapshotT { return wire.GetRootAsSnapshot(p, 0).UnPack() })
+		if err != nil {
+			return h, false, errors.WithType(err, ErrDamaged)
+		}
+		h.Snapshot = SnapshotOf(s)
+	}
+	it := v.db.NewIterator(util.BytesPrefix([]byte("e")), nil)
+	defer it.Release()
+	for it.Next() {
+		p, err := unseal(it.Value())
+		if err != nil {
+			return h, false, err
+		}
+		e, err := trunk.Parse(append([]byte(nil), p...), func(p []byte) *wire.EntryT { return wire.GetRootAsEntry(p, 0).UnPack() })
+		if err != nil {
+			return h, false, errors.WithType(err, ErrDamaged)
+		}
+		x, err := EntryOf(e)
+		if err != nil {
+			return h, false, errors.WithType(err, ErrDamaged)
+		}
+		if x.Index <= h.Snapshot.Index {
+			continue // the snapshot came between this and its removal
+		}
+		if x.Index != h.Snapshot.Index+uint64(len(h.Log))+1 {
+			return h, false, errors.Annotatef(ErrDamaged, "entry %d is missing", h.Snapshot.Index+uint64(len(h.Log))+1)
+		}
+		h.Log = append(h.Log, x)
+	}
+	if err := it.Error(); err != nil {
+		return h, false, errors.WithType(err, ErrDamaged)
+	}
+	return h, false, nil
+}
+
+// Begin makes an empty store a register's own.
+func (v *Vault) Begin(self core.ID, s core.Snapshot) error {
+	b := new(leveldb.Batch)
+	b.Put([]byte("format"), seal(number(Format)))
+	b.Put([]byte("self"), seal(number(uint64(self))))
+	b.Put([]byte("hard"), seal(make([]byte, 16)))
+	if s.Index > 0 {
+		b.Put([]byte("snap"), seal(trunk.Bytes(WireSnapshot(&s))))
+	}
+	return v.write(b)
+}
+
+func (v *Vault) write(b *leveldb.Batch) error {
+	if v.db == nil {
+		return ErrWrite
+	}
+	if err := v.db.Write(b, &v.sync); err != nil {
+		return errors.WithType(err, ErrWrite)
+	}
+	return nil
+}
+
+// Save writes what a Ready must have on disk. last is the last entry that stands there before it.
+func (v *Vault) Save(r core.Ready, last uint64) error {
+	b := new(leveldb.Batch)
+	if r.Hard != nil {
+		b.Put([]byte("hard"), seal(append(number(r.Hard.Term), number(uint64(r.Hard.Vote))...)))
+	}
+	if r.Snapshot != nil {
+		b.Put([]byte("snap"), seal(trunk.Bytes(WireSnapshot(r.Snapshot))))
+		it := v.db.NewIterator(util.BytesPrefix([]byte("e")), nil)
+		for it.Next() {
+			b.Delete(append([]byte(nil), it.Key()...))
+		}
+		it.Release()
+		last = 0
+	}
+	for i, e := range r.Entries {
+		b.Put(entryKey(e.Index), seal(trunk.Bytes(WireEntry(e))))
+		if i == len(r.Entries)-1 {
+			for n := e.Index + 1; n <= last; n++ { // of a leader that is none any more
+				b.Delete(entryKey(n))
+			}
+		}
+	}
+	return v.write(b)
+}
+
+// Compact has a snapshot stand for the log up to it, which began behind from.
+func (v *Vault) Compact(s core.Snapshot, from uint64) error {
+	b := new(leveldb.Batch)
+	b.Put([]byte("snap"), seal(trunk.Bytes(WireSnapshot(&s))))
+	for n := from + 1; n <= s.Index; n++ {
+		b.Delete(entryKey(n))
+	}
+	return v.write(b)
+}
--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -73,7 +73,7 @@
 // readBody reads the body, or as much of it as is kept; what follows of a longer one is read by pump. The limit of time
 // is lifted afterwards: run out once the body is in, it would pass for the caller's going away, and its request would be
 // lost.
-func readBody(w http.ResponseWriter, hr *http.Request, c *call) *Refusal {
+func (f *Front) readBody(w http.ResponseWriter, hr *http.Request, c *call) *Refusal {
 	out := c.Payload.(*message.Request)
 	rc := http.NewResponseController(w)
 	in := &paced{rc: rc, body: hr.Body}
@@ -99,7 +99,7 @@
 	if err != nil {
 		return &Refusal{Status: http.StatusBadRequest, Text: errBroken.Error()}
 	}
-	if hr.Method == http.MethodGet && (n > 0 || c.rest != nil) {
+	if !f.Speech.Body(hr) && (n > 0 || c.rest != nil) {
 		return &Refusal{Status: http.StatusBadRequest, Text: "GET has no body"}
 	}
 	out.Body = buf[:n:n]
@@ -193,12 +193,15 @@
 	h := w.Header()
 	h["Content-Type"] = nil // no guessing
 	for _, field := range st.Header {
-		h.Set(field.Name, field.Value)
+		h.Add(field.Name, field.Value)
 	}
 	if st.Length >= 0 {
 		h.Set("Content-Length", itoa(st.Length))
 	}
 	f.lead(w)
+	if st.Status != 0 {
+		w.WriteHeader(st.Status)
+	}
 	for {
 		p, err := st.Next(ctx)
 		if err != nil {
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -7,7 +7,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,7 +14,6 @@
 	"sync/atomic"
 	"time"
 
-	"hollyspur"
 	"hollyspur/internal/engine"
 	"hollyspur/internal/message"
 	"hollyspur/internal/pool"
@@ -48,6 +46,20 @@
 	Keep   bool // the request was understood to its end, so its connection can go on
 }
 
+// Speech is what requests and answers say beyond HTTP itself: the platform's, or the mesh's.
+type Speech interface {
+	// Own says that a request is for the node itself, and answers it.
+	Own(f *Front, w http.ResponseWriter, hr *http.Request) bool
+	// Read checks a request's head, fills in the call and words what servers are sent.
+	Read(hr *http.Request, p *pool.Pool, class string, now time.Duration, c *engine.Call) (*message.Request, *Refusal)
+	// Body says that a request may have one.
+	Body(hr *http.Request) bool
+	// Head writes what an answer's head says beyond its length, and returns its status.
+	Head(h http.Header, c *engine.Call, a engine.Answer) int
+	// Refuse words what goes with a request that is turned away.
+	Refuse(h http.Header, hr *http.Request, r *Refusal)
+}
+
 // Dialect is another protocol over the same connections, with answers of its own.
 type Dialect interface {
 	// Speaks says that a request is one of its own.
@@ -60,6 +72,8 @@
 type Front struct {
 	// Dialect is set before Serve; nil: none.
 	Dialect Dialect
+	// Speech is set before Serve; nil: the platform's.
+	Speech Speech
 
 	clock   engine.Clock
 	routes  Routes
@@ -119,8 +133,14 @@
 // Addr is the address that the front listens on.
 func (f *Front) Addr() net.Addr { return f.callers.Addr() }
 
+// Idle sets how long callers' connections may be idle, before Serve.
+func (f *Front) Idle(d time.Duration) { f.server.IdleTimeout = d }
+
 // Serve serves until Shutdown, and then returns http.ErrServerClosed.
 func (f *Front) Serve() error {
+	if f.Speech == nil {
+		f.Speech = platform{}
+	}
 	err := f.server.Serve(f.callers)
 	if f.handed.Load() {
 		return http.ErrServerClosed
@@ -219,12 +239,8 @@
 
 // ServeHTTP answers one request. It is no ServeMux, which would redirect paths that it cleans.
 func (f *Front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
-	if hr.Method == http.MethodGet && hr.URL.Path == "/health/ready" && bodiless(hr) {
-		f.lead(w)
-		if f.unready.Load() {
-			http.Error(w, "clients are sent away", http.StatusServiceUnavailable)
-		}
-		return // else 200: the front listens only once requests can be handled
+	if f.Speech.Own(f, w, hr) {
+		return
 	}
 	if f.Dialect != nil && f.Dialect.Speaks(hr) {
 		f.Dialect.Serve(f, w, hr)
@@ -246,7 +262,7 @@
 		defer p.Leave(size)
 		if hr.ContentLength != 0 {
 			head := f.clock.Now()
-			err = readBody(w, hr, c)
+			err = f.readBody(w, hr, c)
 			read := f.clock.Now() - head // a request's time runs from its last byte
 			c.Deadline, c.Last = c.Deadline+read, c.Last+read
 		}
@@ -317,9 +333,7 @@
 
 // refuse answers a request that is not taken.
 func (f *Front) refuse(w http.ResponseWriter, hr *http.Request, from *caller, err *Refusal) {
-	if err.Retry {
-		w.Header().Set("Retry-After", "1")
-	}
+	f.Speech.Refuse(w.Header(), hr, err)
 	rc := http.NewResponseController(w)
 	f.lead(w)
 	if err.Keep || hr.ProtoMajor > 1 {
@@ -380,78 +394,17 @@
 // time that the request is seen here, and one of HTTP/1.0 has lost any Transfer-Encoding.
 func bodiless(hr *http.Request) bool { return hr.ContentLength == 0 && hr.TransferEncoding == nil }
 
-// longClaim is how many times its class's deadline a caller may claim to wait.
-const longClaim = 10
-
 // check reads a request's head.
-func (f *Front) check(hr *http.Request, p *pool.Pool, name string) (*call, *Refusal) {
-	now := f.clock.Now()
-	h := hr.Header
-	class, known := p.Class(name)
-	method := http.MethodPost
-	if class.Effect == hollyspur.Safe {
-		method = http.MethodGet
-	}
-	claim, claimed := message.ParseTimeLeft(h.Get("X-Time-Left"))
-	left := min(claim, class.Deadline)
-	switch ids, keys := h["X-Correlation-Id"], h["Idempotency-Key"]; {
-	case len(h["Content-Length"]) > 1:
-		// The library takes the first of HTTP/2's; whoever stands behind us might take another.
-		return nil, &Refusal{Status: http.StatusBadRequest, Text: "more than one content-length"}
-	case !hr.ProtoAtLeast(1, 1) && !bodiless(hr):
-		return nil, &Refusal{Status: http.StatusHTTPVersionNotSupported, Text: "a body needs HTTP/1.1"}
-	case hr.ContentLength > maxBody:
-		return nil, &Refusal{Status: http.StatusRequestEntityTooLarge, Text: "the body is too long"}
-	case p.GRPC():
-		return nil, &Refusal{Status: http.StatusNotImplemented, Text: "the servers of this pool speak gRPC only"}
-	case !known:
-		return nil, &Refusal{Status: http.StatusNotFound, Text: fmt.Sprintf("no class %.40q", name)}
-	case hr.Method != method:
-		return nil, &Refusal{Status: http.StatusMethodNotAllowed, Text: "requests of this class are " + method}
-	case method == http.MethodGet && hr.ContentLength > 0:
-		return nil, &Refusal{Status: http.StatusBadRequest, Text: "GET has no body"}
-	case len(ids) != 1 || ids[0] == "":
-		return nil, &Refusal{Status: http.StatusBadRequest, Text: "not one X-Correlation-Id"}
-	case class.Effect == hollyspur.Keyed && (len(keys) != 1 || keys[0] == ""):
-		// Without its key the servers would run every repeat.
-		return nil, &Refusal{Status: http.StatusBadRequest, Text: "not one Idempotency-Key"}
-	case !claimed || claim > longClaim*class.Deadline:
-		return nil, &Refusal{Status: http.StatusBadRequest, Text: "X-Time-Left is no time with the unit m or u, or too long"}
-	}
-
-	out := &message.Request{Method: hr.Method, URL: hr.URL, Authority: hr.Host, Header: make(map[string][]string, 3)}
-	for _, name := range []string{"X-Correlation-Id", "Idempotency-Key", "Content-Type"} {
-		if v := h[name]; len(v) > 0 {
-			out.Header[name] = v
-		}
-	}
+func (f *Front) check(hr *http.Request, p *pool.Pool, class string) (*call, *Refusal) {
 	c := &call{came: make(chan came, 2)}
-	Describe(&c.Call, h, name, now, left)
-	c.Payload, c.To = out, c
-	if us, err := strconv.ParseFloat(h.Get("X-Weight-Hint"), 64); err == nil && us > 0 {
-		// More than the deadline is no guess, and would outweigh all others in the module's mean.
-		c.Cost = time.Duration(min(us*float64(time.Microsecond), float64(class.Deadline)))
+	out, refusal := f.Speech.Read(hr, p, class, f.clock.Now(), &c.Call)
+	if refusal != nil {
+		return nil, refusal
 	}
+	c.Payload, c.To = out, c
 	return c, nil
 }
 
-// Describe fills in what the head of any request tells of a call: who asks, of what class, and until when, where its
-// caller waits so long from now.
-func Describe(c *engine.Call, h http.Header, class string, now, left time.Duration) {
-	own := min(OwnDelay, left/4)
-	c.ID, c.Class, c.Repeat = h.Get("X-Correlation-Id"), class, h.Get("X-Repeat") == "1"
-	c.Deadline, c.Last = now+left-own, now+left-own/2
-	c.Tenant, c.From = h.Get("X-Account"), h.Get(message.CallerZone)
-}
-
-// statuses of the verdicts, by the protocol's page.
-var statuses = map[engine.Verdict]int{
-	engine.Served:    http.StatusOK,
-	engine.Refused:   http.StatusServiceUnavailable,
-	engine.Failed:    http.StatusBadGateway,
-	engine.Duplicate: http.StatusConflict,
-}
-
 // write writes a final answer that nothing of went before.
 func (f *Front) write(w http.ResponseWriter, c *call, a engine.Answer) {
 	f.lead(w)
@@ -465,19 +418,19 @@
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(WriteTimeout))
 	h := w.Header()
 	h["Content-Type"] = nil // no guessing
+	if a.Verdict == engine.Failed {
+		if r := c.Payload.(*message.Request).Failed(); r != nil {
+			a.Reply = r
+		}
+	}
+	status := f.Speech.Head(h, &c.Call, a)
 	var body []byte
 	if r, is := a.Reply.(*message.Reply); is {
 		defer r.Release()
 		body = r.Body
-		if r.ContentType != "" {
-			h.Set("Content-Type", r.ContentType)
-		}
 	}
 	h.Set("Content-Length", itoa(int64(len(body))))
-	if a.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64))
-	}
-	w.WriteHeader(statuses[a.Verdict])
+	w.WriteHeader(status)
 	w.Write(body) // an error means that the caller has gone
 }
 
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -21,12 +21,33 @@
 	Header    map[string][]string
 	Body      []byte
 	GRPC      *GRPC // nil: it is no request of gRPC
+	// Runs says how often it may run, where its form does not tell.
+	Runs Runs
+	// Note is whoever made it's own; senders that know it read it.
+	Note any
 	// More is what follows Body, as its caller sends it; nil: nothing. It can be sent once: whoever takes of it
 	// calls Claim first.
 	More    *Stream
 	claimed atomic.Bool
+	failed  atomic.Pointer[Reply]
 }
 
+// Runs says how often a request may run.
+type Runs uint8
+
+// How often; the zero Runs is told by method and key.
+const (
+	RunsByForm Runs = iota
+	RunsOnce
+	RunsOften
+)
+
+// Fail keeps the answer that a server gave with a failure, for a caller that gets no better one.
+func (r *Request) Fail(with *Reply) { r.failed.Store(with) }
+
+// Failed is the last answer that Fail kept; nil: none.
+func (r *Request) Failed() *Reply { return r.failed.Load() }
+
 // Spent says that no further attempt can send all of it.
 func (r *Request) Spent() bool { return r.More != nil && r.claimed.Load() }
 
@@ -37,7 +58,8 @@
 type Reply struct {
 	ContentType     string
 	Body            []byte
-	Header, Trailer []Field // of gRPC
+	Status          int     // of HTTP; 0: 200
+	Header, Trailer []Field // of gRPC, and where a front passes all on
 
 	room  Room
 	freed atomic.Bool
--- a/internal/message/stream.go
+++ b/internal/message/stream.go
@@ -34,6 +34,7 @@
 // Stream is an answer that comes in pieces: a sender pushes, a front takes, and what is taken the sender may ask the
 // server to send more of. So what is held is bounded by what the sender has allowed the server.
 type Stream struct {
+	Status int // of HTTP; 0: 200
 	Header []Field
 	// Length is how many bytes the body has of which it is the whole or the rest; -1: not told. 0 of gRPC, whose streams
 	// may be worked on for as long as they last.
--- a/internal/sender/http1/http1.go
+++ b/internal/sender/http1/http1.go
@@ -5,6 +5,7 @@
 package http1
 
 import (
+	"cmp"
 	"bytes"
 	"context"
 	"errors"
@@ -25,6 +26,49 @@
 	Connect     time.Duration // within which a connection must come up
 	Connections engine.Room   // connections there may be, idle ones and dials among them
 	LongAnswers engine.Room   // bytes of answers that are passed on as they come
+	Speech      Speech        // nil: the platform's
+	Quiet       time.Duration // that a server may rest amid an answer; 0: as long as suits one that something can take the place of
+}
+
+// Speech is what requests and answers say beyond HTTP itself: the platform's, or the mesh's.
+type Speech interface {
+	// Head adds to a request's head what is an attempt's own.
+	Head(a *engine.Attempt, h http.Header)
+	// Matches says that an answer belongs to a request; one that does not is read and thrown away.
+	Matches(m *message.Request, resp *http.Response) bool
+	// Ending says how an attempt ended whose answer came whole, and whether its body is wanted.
+	Ending(resp *http.Response) (ending hollyspur.Ending, wanted bool)
+	// Word words an answer's head for whoever it goes to.
+	Word(resp *http.Response) (status int, header []message.Field, contentType string)
+}
+
+// platform is the Speech of the protocol's page.
+type platform struct{}
+
+func (platform) Head(a *engine.Attempt, h http.Header) {
+	h["X-Time-Left"] = []string{message.TimeLeft(a.Timeout)}
+}
+
+func (platform) Matches(*message.Request, *http.Response) bool { return true }
+
+func (platform) Ending(resp *http.Response) (hollyspur.Ending, bool) {
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return hollyspur.Success, true
+	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Unprocessed") == "1":
+		return hollyspur.Overloaded, false
+	}
+	return hollyspur.Failure, false
+}
+
+func (platform) Word(resp *http.Response) (int, []message.Field, string) {
+	h := []message.Field{}
+	v := resp.Header.Get("Content-Type")
+	if v != "" {
+		h = append(h, message.Field{Name: "content-type", Value: v})
+	}
+	return 0, h, v
 }
 
 // Sender makes attempts over connections of its own. It implements engine.Sender; the payload is a
@@ -33,14 +77,19 @@
 	conns
 	answers     engine.Room
 	quietWithin time.Duration
+	streamQuiet time.Duration
 	holdFor     time.Duration
+	speech      Speech
 }
 
 var _ engine.Sender = (*Sender)(nil)
 
 // New returns a sender with no connections.
 func New(cfg Config) *Sender {
-	return &Sender{answers: cfg.LongAnswers, quietWithin: quietWithin, holdFor: holdFor, conns: conns{
+	if cfg.Speech == nil {
+		cfg.Speech = platform{}
+	}
+	return &Sender{answers: cfg.LongAnswers, quietWithin: cmp.Or(cfg.Quiet, quietWithin), streamQuiet: max(cfg.Quiet, streamQuiet), holdFor: holdFor, speech: cfg.Speech, conns: conns{
 		// Clearly before the server closes it: a request that crosses the close is lost to a reset.
 		idleFor: cfg.Idle * 3 / 4, connect: cfg.Connect, settled: settled,
 		start: time.Now(), leastKnock: leastKnock, idle: map[*engine.Endpoint][]*conn{}, room: cfg.Connections}}
@@ -71,7 +120,7 @@
 	if m.Spent() {
 		return result{ending: hollyspur.Void} // what follows of its body went to another server
 	}
-	r := outgoing(a)
+	r := s.outgoing(a)
 	text, err := wireText(r, m)
 	if err != nil {
 		return result{ending: hollyspur.Void}
@@ -164,14 +213,14 @@
 }
 
 // outgoing is the request as it goes to the attempt's server.
-func outgoing(a *engine.Attempt) *http.Request {
+func (s *Sender) outgoing(a *engine.Attempt) *http.Request {
 	m := a.Payload.(*message.Request)
 	h := make(http.Header, len(m.Header)+2)
 	for k, v := range m.Header {
 		h[k] = v
 	}
 	h["User-Agent"] = nil // none is better than the library's
-	h["X-Time-Left"] = []string{message.TimeLeft(a.Timeout)}
+	s.speech.Head(a, h)
 	r := &http.Request{Method: m.Method, URL: m.URL, Host: m.Authority, Header: h, ContentLength: int64(len(m.Body))}
 	if m.More != nil {
 		r.ContentLength = m.More.Length
@@ -224,16 +273,14 @@
 	if got.reply == nil {
 		a.Crossed(out, got.size, "")
 	}
-	switch resp := got.resp; {
-	case resp.StatusCode == http.StatusOK:
-		res = result{hollyspur.Success, got.reply}
-	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
-		resp.Header.Get("X-Unprocessed") == "1":
-		res.ending = hollyspur.Overloaded
-	default:
-		res.ending = hollyspur.Failure
+	res.ending, _ = s.speech.Ending(got.resp)
+	if res.ending == hollyspur.Success {
+		res.reply = got.reply
+	} else if got.reply != nil {
+		m := a.Payload.(*message.Request)
+		m.Fail(got.reply)
 	}
-	return res, whole && !got.resp.Close && c.r.Buffered() == 0 && c.SetReadDeadline(time.Time{}) == nil
+	return res, whole && !got.stray && !got.resp.Close && c.r.Buffered() == 0 && c.SetReadDeadline(time.Time{}) == nil
 }
 
 // write writes a request, whose head or whole text is given. whole: to its end; else the server answered before that, and
--- a/internal/sender/http1/read.go
+++ b/internal/sender/http1/read.go
@@ -34,6 +34,7 @@
 
 var (
 	errUnframed = errors.New("the answer's length is not told")
+	errStray    = errors.New("the answer is another request's")
 	errTooLong  = errors.New("the answer is too long")
 )
 
@@ -42,13 +43,15 @@
 	resp  *http.Response
 	reply *message.Reply
 	size  int64 // bytes of its body
+	stray bool  // another's came before it
 }
 
 // read reads an answer, and passes a long one on as it comes. An error says that what came is none, whatever its head
 // said of whether the request has run.
 func (s *Sender) read(ctx context.Context, a *engine.Attempt, c *conn, r *http.Request) (answer, error) {
-	c.limit.N = maxHeads
+	stray := false
 	for {
+		c.limit.N = maxHeads
 		if _, err := c.r.Peek(1); err != nil {
 			return answer{}, err
 		}
@@ -66,7 +69,21 @@
 			}
 			continue
 		}
-		return s.readBody(ctx, a, c, resp, close)
+		if !s.speech.Matches(a.Payload.(*message.Request), resp) {
+			// A second answer to an earlier request, which came late; ours may be behind it.
+			c.limit.N = maxAnswer / 64
+			if _, err := io.Copy(io.Discard, quiet{c, resp.Body, s.quietWithin}); err != nil || stray || resp.Close {
+				return answer{}, errors.Join(errStray, err)
+			}
+			stray = true
+			if err := c.SetReadDeadline(time.Time{}); err != nil {
+				return answer{}, err
+			}
+			continue
+		}
+		got, err := s.readBody(ctx, a, c, resp, close)
+		got.stray = stray
+		return got, err
 	}
 }
 
@@ -97,8 +114,9 @@
 	if n >= 0 && int64(c.r.Buffered()) >= n {
 		body = resp.Body // it is here
 	}
+	_, wanted := s.speech.Ending(resp)
 	switch {
-	case resp.StatusCode != http.StatusOK:
+	case !wanted:
 		c.limit.N = maxAnswer / 64
 		size, err := io.Copy(io.Discard, body)
 		return answer{resp: resp, size: size}, err
@@ -106,11 +124,12 @@
 		c.limit.N = n
 		whole := make([]byte, n)
 		_, err := io.ReadFull(body, whole)
-		return answer{resp, message.NewReply(resp.Header.Get("Content-Type"), whole, nil), n}, err
+		status, header, ct := s.speech.Word(resp)
+		return answer{resp: resp, reply: worded(message.NewReply(ct, whole, nil), status, header), size: n}, err
 	}
 	c.limit.N = 2 * maxAnswer // of a body in chunks with their framing
-	reply, size, err := s.passOn(ctx, a, quiet{c, resp.Body, streamQuiet}, resp)
-	return answer{resp, reply, size}, err
+	reply, size, err := s.passOn(ctx, a, quiet{c, resp.Body, s.streamQuiet}, resp)
+	return answer{resp: resp, reply: reply, size: size}, err
 }
 
 // saysClose says that the head which comes announces that the connection is closed behind the answer. The library drops
@@ -148,11 +167,9 @@
 // passOn hands the body on as it comes. An answer of untold length that ends soon and is short is kept whole instead,
 // and is the reply.
 func (s *Sender) passOn(ctx context.Context, a *engine.Attempt, body io.Reader, resp *http.Response) (reply *message.Reply, size int64, err error) {
-	h := []message.Field{}
-	if v := resp.Header.Get("Content-Type"); v != "" {
-		h = append(h, message.Field{Name: "content-type", Value: v})
-	}
+	status, h, ct := s.speech.Word(resp)
 	f := newFlow(s.answers, h, resp.ContentLength)
+	f.Status = status
 	begin := &beginning{a: a, f: f}
 	if resp.ContentLength < 0 {
 		timer := time.AfterFunc(s.holdFor, func() { begin.now() })
@@ -178,7 +195,7 @@
 			if begin.end(true) {
 				return nil, size, nil
 			}
-			return message.NewReply(resp.Header.Get("Content-Type"), f.Drain(), nil), size, nil
+			return worded(message.NewReply(ct, f.Drain(), nil), status, h), size, nil
 		}
 		if err != nil {
 			begin.end(false)
@@ -190,6 +207,14 @@
 	}
 }
 
+// worded gives a reply the head that goes with it, where all of it is passed on.
+func worded(r *message.Reply, status int, header []message.Field) *message.Reply {
+	if status != 0 {
+		r.Status, r.Header = status, header
+	}
+	return r
+}
+
 // beginning says once that a streamed answer begins, unless it has ended before.
 type beginning struct {
 	a *engine.Attempt
--- a/internal/sender/http1/trust.go
+++ b/internal/sender/http1/trust.go
@@ -92,6 +92,9 @@
 // unsafe says that a request must not run twice, as far as its form tells: its method is not idempotent (RFC 9110,
 // section 9.2.2) and it has no key by which servers drop a repeat.
 func unsafe(m *message.Request) bool {
+	if m.Runs != message.RunsByForm {
+		return m.Runs == message.RunsOnce
+	}
 	switch m.Method {
 	case http.MethodGet, http.MethodHead, http.MethodPut, http.MethodDelete, http.MethodOptions, http.MethodTrace:
 		return false
--- a/state.go
+++ b/state.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// What a Balancer remembers: types only; policy.go fills and reads them.
+// What a Balancer remembers: types and how they begin; the files of the policy fill and read them.
 
 // Balancer decides for one node. See the package comment for its contract.
 type Balancer struct {
@@ -179,3 +179,52 @@
 	}
 	return now - a.sent
 }
+
+// New returns a Balancer that knows no servers yet. The error names the setting at fault.
+func New(set Settings, seed uint64) (*Balancer, error) {
+	if err := set.Validate(); err != nil {
+		return nil, err
+	}
+	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
+		servers: map[string]*server{}, requests: map[string]*request{},
+		classes: map[string]*class{}, quotas: map[string]*quota{}, errors: 0.02, tokens: retryPurse / 2,
+		divisor: float64(max(1, set.Balancers)),
+		fill:    aimFill / 2, bare: math.Log(aimFill / 2), pace: math.Log(aimFill / 2)}
+	longest := set.Classes[0]
+	for _, c := range set.Classes {
+		b.addClass(c)
+		if c.Deadline > longest.Deadline {
+			longest = c
+		}
+	}
+	for _, t := range set.Tenants {
+		q := &quota{whole: t.Quota, room: math.Inf(1)}
+		q.divide(b.divisor)
+		b.quotas[t.Name] = q
+		b.quotaList = append(b.quotaList, q)
+	}
+	b.addClass(Class{Aim: longest.Aim, Deadline: longest.Deadline, Worth: longest.Worth})
+	return b, nil
+}
+
+func (b *Balancer) addClass(c Class) {
+	k := &class{Class: c, mean: float64(c.Aim) / 4, dev: float64(c.Aim) / 8}
+	b.classes[c.Name] = k
+	b.order = append(b.order, k)
+}
+
+// takeClasses adds classes, or tells those that there are anew: what was learned of them stays.
+func (b *Balancer) takeClasses(l []Class) {
+	for _, c := range l {
+		if k := b.classes[c.Name]; k != nil && c.Name != "" {
+			if k.Deadline != c.Deadline {
+				k.longestTry = 0 // what clients wait is found out anew
+			}
+			k.Class = c
+		} else if c.Name != "" {
+			b.addClass(c)
+			n := len(b.order) // the unknown one stays the last
+			b.order[n-2], b.order[n-1] = b.order[n-1], b.order[n-2]
+		}
+	}
+}
