--- a/internal/exchange/patch/patch.go
+++ b/internal/exchange/patch/patch.go
@@ -216,14 +216,26 @@
 			}
 		}
 	}
-	seen := map[Name]bool{}
+	return once(items)
+}
+
+// once has each item stand in a call once: said twice alike it is said once, and of several versions the highest holds.
+func once(items []Item) ([]Item, error) {
+	at := map[Name]int{}
+	var out []Item
 	for _, i := range items {
-		if seen[i.Name] {
-			return nil, invalid(i.Kind.String()+" "+i.Name.Name, "stands in the call twice")
+		n, seen := at[i.Name]
+		switch {
+		case !seen:
+			at[i.Name] = len(out)
+			out = append(out, i)
+		case out[n].Version == i.Version && !out[n].same(i):
+			return nil, invalid(i.Kind.String()+" "+i.Name.Name, "stands in the call twice, with one version and two contents")
+		case out[n].Version < i.Version:
+			out[n] = i
 		}
-		seen[i.Name] = true
 	}
-	return items, nil
+	return out, nil
 }
 
 func (s *Set) items() (items []Item, err error) {
--- a/internal/exchange/register/calls.go
+++ b/internal/exchange/register/calls.go
@@ -30,6 +30,7 @@
 func (r *Register) takeModify(ctx context.Context, body []byte) error {
 	if _, err := patch.Read(body); err != nil {
 		status, text := statusOf(err)
+		r.log.Info().Err(err).Msg("a call was refused")
 		return control.Fault(status, text)
 	}
 	done := make(chan modified, 1)
