The window's floor is what servers say they take, and draws are from the whole list

Fleet tells Whole and Takes (twice the slots); for programs that tell neither, decisions are as before. Ruled out: servers shedding (none did).

--- a/admission.go
+++ b/admission.go
@@ -91,7 +91,7 @@
 			if b.away(s) {
 				out++
 			} else if w := b.warmth(s); w < 1 {
-				b.usable += b.coldRoom(w) / windowFloor
+				b.usable += b.coldRoom(w) / b.takes
 			} else {
 				b.usable += min(1, float64(b.roomy(s))/max(1, part))
 			}
@@ -167,7 +167,7 @@
 	lean := 1 - b.shed*min(1, shedding*max(0, b.unevenness()-b.luck()))
 	busy := busyRatio * (1 + calmRatio*math.Pow(1-b.shed, calmPower))
 	crowd := max(b.fill/aimFill, math.Exp(b.pace-b.bare)/busy) / lean
-	least := min(b.window, windowFloor*b.fairServers())
+	least := min(b.window, b.takes*b.fairServers())
 	vain := e.Ending == TimedOut || e.Ending == Withdrawn && over > 1
 	if vain {
 		b.vain += memory * (1 - b.vain)
@@ -178,7 +178,7 @@
 	case vain && b.vain > mostVain:
 		// Servers are busy with what nobody waits for any more. Only less than is always admitted lets them
 		// work that off, so the window goes with the calls that failed, down to next to none.
-		least = min(b.window, windowProbe*windowFloor*b.fairServers())
+		least = min(b.window, windowProbe*b.takes*b.fairServers())
 		b.window -= windowVain * min(1, b.window)
 	case crowd > 1:
 		// In a round of answers the window falls towards what would have brought the aimed-for latency,
@@ -192,7 +192,7 @@
 	}
 	if b.window = max(b.window, least); e.Ending == Success && over <= 1 {
 		// Out of such a hole it doubles each round.
-		b.window = max(b.window, min(b.window+1, windowFloor*b.fairServers()))
+		b.window = max(b.window, min(b.window+1, b.takes*b.fairServers()))
 	}
 }
 
--- a/choice.go
+++ b/choice.go
@@ -223,5 +223,5 @@
 // coldRoom is how many own calls a server of that warmth gets at a time: its share of what is always
 // admitted, divided among the copies, for many that each send a little would push it over together.
 func (b *Balancer) coldRoom(warmth float64) float64 {
-	return max(1, math.Floor(windowFloor*warmth/b.divisor))
+	return max(1, math.Floor(b.takes*warmth/b.divisor))
 }
--- a/export_test.go
+++ b/export_test.go
@@ -10,7 +10,7 @@
 // to a factor of ten.
 func (b *Balancer) Disturb(r *rand.Rand) {
 	wrong := func() float64 { return math.Pow(10, 2*r.Float64()-1) }
-	b.window = max(b.window*wrong(), windowFloor*b.fairServers())
+	b.window = max(b.window*wrong(), b.takes*b.fairServers())
 	b.fill = min(1, b.fill*wrong())
 	b.bare = min(b.fill, b.bare*wrong())
 	b.shed = r.Float64()
--- a/fleet.go
+++ b/fleet.go
@@ -26,7 +26,7 @@
 		}
 	}
 	size := max(subsetLeast, int(math.Ceil(subsetShare*b.fairServers())))
-	if size >= n || b.set.Balancers <= 1 {
+	if size >= n || b.set.Balancers <= 1 || b.whole {
 		return b.ready
 	}
 	l := make([]*server, 0, size)
@@ -40,6 +40,10 @@
 func (b *Balancer) takeFleet(e Fleet) {
 	before := b.fairServers()
 	b.set.Balancers, b.set.Index, b.divisor = max(1, e.Balancers), e.Index, e.Divisor
+	b.whole = e.Whole
+	if e.Takes > 0 {
+		b.takes = e.Takes
+	}
 	if b.chosen = nil; e.Subset != nil {
 		b.chosen = make(map[string]bool, len(e.Subset))
 		for _, id := range e.Subset {
--- a/hollyspur.go
+++ b/hollyspur.go
@@ -203,6 +203,9 @@
 		Divisor          float64
 		// Subset names the servers that first attempts are drawn from; nil: they are cut from the shared order by number.
 		Subset []string
+		Whole  bool // first attempts are drawn from the whole list, whatever their number
+		// Takes is how many calls a server takes at once from all copies together, as far as is known; 0: not known.
+		Takes float64
 		// Quotas are this copy's parts of tenants' quotas, 0 to 1, in place of 1/Divisor where they name one.
 		Quotas map[string]float64
 	}
--- a/internal/exchange/line/own.go
+++ b/internal/exchange/line/own.go
@@ -123,7 +123,9 @@
 func (o *own) handlers() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/endpoints/{id}/heartbeat", control.Handle(16<<10, time.Second,
-		func(_ context.Context, r *http.Request, b Beat) (Beaten, error) { return Beaten{}, o.beat(r.PathValue("id"), b) }))
+		func(_ context.Context, r *http.Request, b Beat) (Beaten, error) {
+			return Beaten{}, o.beat(r.PathValue("id"), b)
+		}))
 	mux.HandleFunc("POST /v1/endpoints/{id}/deregister", control.Handle(16<<10, time.Second,
 		func(_ context.Context, r *http.Request, _ control.None) (control.None, error) {
 			o.deregister(r.PathValue("id"))
--- a/internal/exchange/line/pools.go
+++ b/internal/exchange/line/pools.go
@@ -75,6 +75,7 @@
 	pool    *pool.Pool
 	source  *source
 	classes map[string]hollyspur.Class // told to its module
+	told    place                      // the same
 
 	mu    sync.Mutex // guards purse
 	purse *toll.Purse
@@ -173,13 +174,15 @@
 // relist tells the services that the directory has changed.
 func (p *pools) relist() {
 	rule := p.rule()
-	lines := p.line.dir.Load().Len()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, s := range *p.byName.Load() {
 		s.mu.Lock()
 		s.purse.Set(rule)
 		s.mu.Unlock()
-		if s.source.lines.Swap(int64(lines)) != int64(lines) {
-			go s.pool.Engine().Tell(hollyspur.Fleet{Balancers: max(1, lines), Divisor: float64(max(1, lines))})
+		if fleet := p.fleet(s.name); s.told != fleet {
+			s.told = fleet
+			go s.pool.Engine().Tell(hollyspur.Fleet{Balancers: fleet.lines, Index: fleet.index, Divisor: float64(fleet.lines), Whole: true, Takes: fleet.takes})
 		}
 		select {
 		case s.source.changed <- struct{}{}:
@@ -188,12 +191,40 @@
 	}
 }
 
+// place is this line's among those that send to a service.
+type place struct {
+	lines, index int
+	takes        float64 // calls that a server takes at once
+}
+
+// crowd is how many calls for each of its slots a server takes from all lines together before any is held back: lines are
+// not asked for alike, and what waits a moment at the server is served sooner than what is sent away.
+const crowd = 2
+
+func (p *pools) fleet(service string) place {
+	f := place{lines: 1}
+	addr, slots, servers := p.line.Addr(), 0, 0
+	all := p.line.dir.Load().All()
+	for i, r := range all {
+		if r.Addr == addr {
+			f.index = i
+		}
+		if r.Service == service && r.Server != "" {
+			slots, servers = slots+int(r.Slots), servers+1
+		}
+	}
+	f.lines = max(1, len(all))
+	if servers > 0 {
+		f.takes = crowd * float64(slots) / float64(servers)
+	}
+	return f
+}
+
 // source is a service's servers, from the directory. It implements engine.Source.
 type source struct {
 	line    *Line
 	service string
 	changed chan struct{}
-	lines   atomic.Int64
 	version atomic.Uint64
 }
 
--- a/list.go
+++ b/list.go
@@ -71,7 +71,7 @@
 		b.window *= after / before
 	}
 	if b.window > 0 && b.vain <= mostVain {
-		b.window = max(b.window, windowFloor*b.fairServers())
+		b.window = max(b.window, b.takes*b.fairServers())
 	}
 	b.usableAt = -1
 	b.subset = b.takeSubset()
--- a/policy.go
+++ b/policy.go
@@ -53,7 +53,6 @@
 	newMemory  = 0.25         // and times its weight in the mean for the part of the list that is new
 )
 
-
 // Handle takes one event at the clock time now and returns what to do, in order.
 func (b *Balancer) Handle(now time.Duration, e Event) []Action {
 	b.now = max(b.now, now)
--- a/state.go
+++ b/state.go
@@ -34,6 +34,8 @@
 	tokens    float64 // retry budget
 	divisor   float64 // what a ration of all copies is divided by for this one; +Inf: nothing is this copy's
 	window    float64 // own calls admitted at once (first tier)
+	takes     float64 // calls a server that all copies together always admit
+	whole     bool    // first attempts are drawn from the whole list
 	usable    float64 // share of the ready servers that may take calls, and when that was counted; <0: stale
 	usableAt  time.Duration
 	astray    int           // own calls out at servers that are not ready, or beyond the part of one that is
@@ -188,8 +190,8 @@
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0x51a7e)),
 		servers: map[string]*server{}, requests: map[string]*request{},
 		classes: map[string]*class{}, quotas: map[string]*quota{}, errors: 0.02, tokens: retryPurse / 2,
-		divisor: float64(max(1, set.Balancers)),
-		fill:    aimFill / 2, bare: math.Log(aimFill / 2), pace: math.Log(aimFill / 2)}
+		divisor: float64(max(1, set.Balancers)), takes: windowFloor,
+		fill: aimFill / 2, bare: math.Log(aimFill / 2), pace: math.Log(aimFill / 2)}
 	longest := set.Classes[0]
 	for _, c := range set.Classes {
 		b.addClass(c)
