A home's beats tell its touch whatever else it says; homes are dialled side by side; probe after a start; early first election

A line now races all known registers. Also: what never went out is answered 503, not 502; a line that starts asks its server's health once who it is, for the next beat may be 1.5 s away; a register that starts asks for votes after 60 to 190 ms.

--- a/internal/exchange/core/core.go
+++ b/internal/exchange/core/core.go
@@ -172,7 +172,8 @@
 		log: cfg.Log, snap: cfg.Snapshot, now: now, commit: cfg.Snapshot.Index, applied: cfg.Snapshot.Index}
 	c.saved = c.last()
 	c.findView()
-	c.rest()
+	// One that starts asks early: where there is a leader the others say no, and where there is none time is dear.
+	c.deadline = c.now + c.cfg.Election/8 + time.Duration(c.rng.Int64N(int64(c.cfg.Election/4)))
 	return c
 }
 
--- a/internal/exchange/dialplan/dialplan.go
+++ b/internal/exchange/dialplan/dialplan.go
@@ -58,18 +58,23 @@
 type Plan struct {
 	byName  map[string]*Route
 	byHost  map[string][]*Route // the longest prefix first
+	Groups  map[string]patch.Group // the services
 	Limits  patch.Bounds
 	Longest time.Duration // of the routes' timeouts
 }
 
 // Make makes the plan of the items that stand.
 func Make(t patch.Table) *Plan {
-	p := &Plan{byName: map[string]*Route{}, byHost: map[string][]*Route{}}
+	p := &Plan{byName: map[string]*Route{}, byHost: map[string][]*Route{}, Groups: map[string]patch.Group{}}
 	for _, i := range t.Items() {
 		switch {
 		case i.Dropped:
 		case i.Kind == patch.Limits:
 			json.Unmarshal(i.Body, &p.Limits) // checked when it was taken
+		case i.Kind == patch.Service:
+			var g patch.Group
+			json.Unmarshal(i.Body, &g)
+			p.Groups[i.Name.Name] = g
 		case i.Kind == patch.Route:
 			if r := route(i); r != nil {
 				p.byName[r.Name] = r
--- a/internal/exchange/line/cord.go
+++ b/internal/exchange/line/cord.go
@@ -144,13 +144,16 @@
 	case err != nil:
 		return hollyspur.Void, nil
 	}
+	// Counted first: whoever answers in its place, as never run, finds the count, or this finds the call finished.
+	o.tries.Add(1)
 	if ending, ok := a.Begin(); !ok {
+		o.tries.Add(-1)
 		return ending, nil
 	}
 	if !o.service.arrives(s.line.clock.Now(), nth) {
+		o.tries.Add(-1)
 		return hollyspur.Void, nil
 	}
-	o.tries.Add(1)
 	if m.More != nil && !m.Claim() {
 		return hollyspur.Void, nil
 	}
--- a/internal/exchange/line/home.go
+++ b/internal/exchange/line/home.go
@@ -21,7 +21,9 @@
 	homeRest   = 100 * time.Millisecond // between tries to find one
 	askAgain   = 150 * time.Millisecond
 	askWithin  = time.Second
-	outOfTouch = 400 * time.Millisecond // that a home may be without a leader
+	outOfTouch = 250 * time.Millisecond // that a home may be without a leader
+	dialWithin = 600 * time.Millisecond
+	dialStep   = 30 * time.Millisecond
 )
 
 // home is the register that this line hears of all else from; another one takes its place when it is silent or hears of
@@ -75,18 +77,11 @@
 func (h *home) run() {
 	l := h.line
 	go h.giveBack()
+	last := ""
 	for l.ctx.Err() == nil {
-		for _, addr := range h.candidates() {
-			hello := &wire.HelloT{Name: l.set.Load().NodeName, Addr: l.Addr(), Zone: l.set.Load().Zone}
-			c, err := trunk.Dial(l.ctx, addr, hello, nil)
-			if err != nil {
-				l.log.Debug().Err(err).Msg("home")
-				continue
-			}
+		if c := h.dial(last); c != nil {
+			last = c.Remote()
 			h.follow(c)
-			if l.ctx.Err() != nil {
-				return
-			}
 		}
 		select {
 		case <-time.After(homeRest):
@@ -95,13 +90,61 @@
 	}
 }
 
+// dial connects with whichever register is there first, of all that are known but the one that was left last.
+func (h *home) dial(but string) *trunk.Conn {
+	l := h.line
+	ctx, cancel := context.WithTimeout(l.ctx, dialWithin)
+	defer cancel()
+	var addrs []string
+	for _, a := range h.candidates() {
+		if a != but {
+			addrs = append(addrs, a)
+		}
+	}
+	if len(addrs) == 0 {
+		addrs = []string{but}
+	}
+	got := make(chan *trunk.Conn, len(addrs))
+	for n, a := range addrs {
+		go func() {
+			select { // each has a moment before the next one is tried, too
+			case <-time.After(time.Duration(n) * dialStep):
+			case <-ctx.Done():
+				got <- nil
+				return
+			}
+			c, err := trunk.Dial(ctx, a, &wire.HelloT{Name: l.set.Load().NodeName, Addr: l.Addr(), Zone: l.set.Load().Zone}, nil)
+			if err != nil {
+				c = nil
+			}
+			got <- c
+		}()
+	}
+	for n := range addrs {
+		if c := <-got; c != nil {
+			cancel()
+			go func() { // those that came up all the same
+				for range len(addrs) - n - 1 {
+					if c := <-got; c != nil {
+						c.Close(nil)
+					}
+				}
+			}()
+			return c
+		}
+	}
+	return nil
+}
+
 // follow stays with a home for as long as it is one.
 func (h *home) follow(c *trunk.Conn) {
 	l := h.line
 	h.c.Store(c)
+	l.log.Info().Str("register", c.Remote()).Msg("home")
 	defer func() {
 		h.touch.Store(false)
 		c.Close(nil)
+		l.log.Info().Str("register", c.Remote()).AnErr("why", c.Err()).Msg("home left")
 	}()
 	c.Send(directory.Wire([]directory.Record{l.own.record()}))
 	go h.confirm(c)
@@ -149,6 +192,7 @@
 			items, err := trunk.Parse(t.Body, func(p []byte) *wire.ItemsT { return wire.GetRootAsItems(p, 0).UnPack() })
 			if err == nil {
 				l.takeItems(patch.ItemsOf(items))
+				l.log.Info().Str("register", c.Remote()).Uint64("index", items.Index).Msg("items confirmed")
 				if len(items.List) > 0 { // else the operator has not come yet
 					h.touch.Store(true)
 					l.confirmed()
--- a/internal/exchange/line/line.go
+++ b/internal/exchange/line/line.go
@@ -27,7 +27,6 @@
 	"hollyspur/internal/exchange/settings"
 	"hollyspur/internal/exchange/trunk"
 	front "hollyspur/internal/front/http1"
-	"hollyspur/internal/pool"
 	sender "hollyspur/internal/sender/http1"
 )
 
@@ -144,6 +143,9 @@
 	if idle := l.plan.Load().Limits.IdleTimeoutS.D(); idle > 0 {
 		l.front.Idle(idle)
 	}
+	if g := l.plan.Load().Groups[l.set.Load().Service]; g.HealthPath != "" {
+		go l.own.probe(g.HealthPath)
+	}
 	go func() {
 		if err := l.front.Serve(); err != http.ErrServerClosed && !l.stopping.Load() {
 			l.log.Error().Err(err).Msg("the front ended")
@@ -228,5 +230,3 @@
 		l.pools.relist()
 	}
 }
-
-var _ = pool.ErrRetired
--- a/internal/exchange/line/outbound.go
+++ b/internal/exchange/line/outbound.go
@@ -143,12 +143,12 @@
 		return r.Status
 	}
 	h.Set(hAttempt, o.attempt)
-	switch a.Verdict {
-	case engine.Refused:
+	switch {
+	case a.Verdict == engine.Refused, a.Verdict == engine.Failed && o.tries.Load() == 0: // it never went out, and never will
 		wait := min(mostRetry, max(leastRetry, a.RetryAfter, o.route.Aim/8))
 		h.Set(hRetry, strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 		return http.StatusServiceUnavailable
-	case engine.Duplicate:
+	case a.Verdict == engine.Duplicate:
 		return http.StatusConflict
 	}
 	if l.clock.Now() >= c.Deadline {
--- a/internal/exchange/line/own.go
+++ b/internal/exchange/line/own.go
@@ -16,6 +16,8 @@
 // missedBeats is how many beats a server may miss before it counts as gone.
 const missedBeats = 3
 
+const probeWithin = time.Second
+
 // Beat is a server's call.
 type Beat struct {
 	Address    string     `json:"Address"`
@@ -120,6 +122,42 @@
 	o.publish()
 }
 
+// probe asks the server who it is, where no beat has come yet in this life of the line.
+func (o *own) probe(path string) {
+	o.mu.Lock()
+	known := o.ep != nil
+	o.mu.Unlock()
+	set := o.line.set.Load()
+	if known || path == "" || set.AppAddress == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.line.ctx, probeWithin)
+	defer cancel()
+	hr, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+set.AppAddress+path, nil)
+	if err != nil {
+		return
+	}
+	hr.Close = true
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(hr)
+	if err != nil {
+		return
+	}
+	resp.Body.Close()
+	id := resp.Header.Get(hInstance)
+	if resp.StatusCode != http.StatusOK || id == "" || len(id) > longestID {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ep != nil || o.ended[id] {
+		return // it spoke for itself meanwhile
+	}
+	o.ep = engine.NewEndpoint(id, set.AppAddress)
+	o.callSeq, o.heard = -1, time.Now()
+	o.rec.Server, o.rec.Service, o.rec.State = id, set.Service, directory.Ready
+	o.publish()
+}
+
 func (o *own) handlers() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/endpoints/{id}/heartbeat", control.Handle(16<<10, time.Second,
--- a/internal/exchange/register/register.go
+++ b/internal/exchange/register/register.go
@@ -77,6 +77,7 @@
 	expired   time.Duration
 	known     map[string]bool // trunks of registers that were heard of
 	addrs     map[core.ID]string
+	led       core.ID
 	told      uint64 // view that links were made for
 }
 
@@ -398,9 +399,14 @@
 func (r *Register) tend() {
 	now := r.now()
 	r.touch.Store(r.core.InTouch(now) && !r.core.Outside())
+	if lead := r.core.Leader(); lead != r.led {
+		r.led = lead
+		r.log.Info().Uint64("leader", uint64(lead)).Str("addr", r.core.Addr(lead)).Uint64("term", r.core.Term()).Uint64("applied", r.core.Applied()).Msg("leader")
+	}
 	members, view := r.core.Members()
 	if view != r.told {
 		r.told = view
+		r.log.Info().Uint64("view", view).Int("members", len(members)).Msg("members")
 		for _, m := range members {
 			r.known[m.Addr] = true
 		}
--- a/internal/exchange/trunk/trunk.go
+++ b/internal/exchange/trunk/trunk.go
@@ -143,7 +143,9 @@
 	Peer  *wire.HelloT // what the dialler told; on the dialling side what it told itself
 	Since time.Time
 	beat  func() []byte
-	heard atomic.Int64 // Unix ns of the latest frame
+	// always: beats go out whatever else was said
+	always bool
+	heard  atomic.Int64 // Unix ns of the latest frame
 
 	mu     sync.Mutex // guards below
 	queue  [][]byte
@@ -156,8 +158,8 @@
 func newConn(nc net.Conn, beat func() *wire.BeatT) *Conn {
 	c := &Conn{nc: nc, r: bufio.NewReaderSize(nc, 16<<10), Since: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{})}
 	c.beat = func() []byte { return Encode(&wire.BeatT{}) }
-	if beat != nil {
-		c.beat = func() []byte { return Encode(beat()) }
+	if beat != nil { // it says more than that the sender is there, so other words don't stand for it
+		c.beat, c.always = func() []byte { return Encode(beat()) }, true
 	}
 	c.heard.Store(time.Now().UnixNano())
 	go c.write()
@@ -248,7 +250,7 @@
 				c.Close(errors.New("the other side of the trunk is silent"))
 				return
 			}
-			if !idle {
+			if !idle && !c.always {
 				idle = true
 				continue
 			}
@@ -321,6 +323,9 @@
 	}
 }
 
+// Remote is the other side's address.
+func (c *Conn) Remote() string { return c.nc.RemoteAddr().String() }
+
 // Done is closed with the connection.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
