--- a/internal/exchange/line/own.go
+++ b/internal/exchange/line/own.go
@@ -76,7 +76,9 @@
 	if r.Server != "" && r.State == directory.Draining && o.left {
 		r.Gone = true
 	}
-	o.state.Store(&r)
+	if was := o.state.Swap(&r); was.Server != r.Server || was.State != r.State || was.Gone != r.Gone {
+		o.line.log.Info().Str("server", r.Server).Uint8("state", uint8(r.State)).Bool("gone", r.Gone).Dur("warmup", r.Warmup).Msg("own server")
+	}
 	go func() {
 		o.line.takeRecords([]directory.Record{r})
 		o.line.home.tell(r)
--- a/internal/exchange/line/pools.go
+++ b/internal/exchange/line/pools.go
@@ -182,7 +182,7 @@
 		s.mu.Unlock()
 		if fleet := p.fleet(s.name); s.told != fleet {
 			s.told = fleet
-			go s.pool.Engine().Tell(hollyspur.Fleet{Balancers: fleet.lines, Index: fleet.index, Divisor: float64(fleet.lines), Whole: true, Takes: fleet.takes})
+			go s.pool.Engine().Tell(hollyspur.Fleet{Balancers: fleet.lines, Index: fleet.index, Divisor: max(1, float64(fleet.lines)/crowd), Whole: true, Takes: fleet.takes})
 		}
 		select {
 		case s.source.changed <- struct{}{}:
@@ -238,6 +238,7 @@
 		l := s.list()
 		if first || !slices.Equal(l, last) {
 			last = l
+			s.line.log.Info().Str("service", s.service).Int("servers", len(l)).Msg("list")
 			news(engine.News{Full: true, Version: strconv.FormatUint(s.version.Add(1), 10), Servers: slices.Clone(l)})
 		}
 		select {
--- a/internal/exchange/register/links.go
+++ b/internal/exchange/register/links.go
@@ -26,8 +26,11 @@
 	c       *trunk.Conn
 	dialing bool
 	rest    time.Time // no dial before
+	held    [][]byte  // to be sent when it is up; the latest
 }
 
+const mostHeld = 32
+
 const linkRest = 200 * time.Millisecond
 
 // link is the one to a register.
@@ -63,7 +66,12 @@
 	l.mu.Lock()
 	l.dialing = false
 	l.rest = time.Now().Add(linkRest)
+	held := l.held
+	l.held = nil
 	if err == nil {
+		for _, p := range held {
+			c.SendFrame(p)
+		}
 		l.c = c
 	}
 	l.mu.Unlock()
@@ -84,15 +92,21 @@
 	}
 }
 
-func (l *link) send(v any) {
-	if c := l.conn(); c != nil {
-		c.Send(v)
-	}
-}
+func (l *link) send(v any) { l.sendFrame(trunk.Encode(v)) }
 
+// sendFrame sends a frame, or holds it while the trunk is being dialled.
 func (l *link) sendFrame(p []byte) {
 	if c := l.conn(); c != nil {
 		c.SendFrame(p)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dialing {
+		if len(l.held) >= mostHeld {
+			l.held = l.held[1:]
+		}
+		l.held = append(l.held, p)
 	}
 }
 
