--- a/internal/exchange/line/pools.go
+++ b/internal/exchange/line/pools.go
@@ -182,7 +182,7 @@
 		s.mu.Unlock()
 		if fleet := p.fleet(s.name); s.told != fleet {
 			s.told = fleet
-			go s.pool.Engine().Tell(hollyspur.Fleet{Balancers: fleet.lines, Index: fleet.index, Divisor: max(1, float64(fleet.lines)/crowd), Whole: true, Takes: fleet.takes})
+			go s.pool.Engine().Tell(hollyspur.Fleet{Balancers: fleet.lines, Index: fleet.index, Divisor: max(1, float64(fleet.lines)/2), Whole: true, Takes: fleet.takes})
 		}
 		select {
 		case s.source.changed <- struct{}{}:
