--- a/internal/exchange/dialplan/dialplan.go
+++ b/internal/exchange/dialplan/dialplan.go
@@ -57,7 +57,7 @@
 // Plan is all routes.
 type Plan struct {
 	byName  map[string]*Route
-	byHost  map[string][]*Route // the longest prefix first
+	byHost  map[string][]*Route    // the longest prefix first
 	Groups  map[string]patch.Group // the services
 	Limits  patch.Bounds
 	Longest time.Duration // of the routes' timeouts
--- a/internal/exchange/line/keys.go
+++ b/internal/exchange/line/keys.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"hollyspur/internal/exchange/trunk"
@@ -20,7 +21,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(claimWithin, time.Duration(q.Budget)*time.Microsecond/2))
 	defer cancel()
-	grant, err := l.home.claim(ctx, &wire.ClaimT{Key: q.Key, Ticket: q.Ticket, Nth: q.Nth, Holder: l.Addr()})
+	grant, err := l.home.claim(ctx, &wire.ClaimT{Key: q.Key, Ticket: q.Ticket, Nth: q.Nth, Holder: l.holder()})
 	switch {
 	case err != nil:
 		// It may be granted all the same, but it never ran: so that is said, and the key given back.
@@ -31,10 +32,11 @@
 		return nil
 	}
 	in.keep.forget(q.Key)
-	if grant.Holder == l.Addr() { // claimed in another life of this line
+	addr, _, _ := strings.Cut(grant.Holder, "/")
+	if addr == l.Addr() { // claimed in another life of this line
 		return r.lost()
 	}
-	k, err := l.cords.recall(ctx, grant.Holder, q.Key)
+	k, err := l.cords.recall(ctx, addr, q.Key)
 	switch {
 	case err != nil || k.Unknown || !k.Found:
 		return r.lost()
@@ -46,6 +48,9 @@
 	return r.again(&wire.AnswerT{Status: k.Status, Fields: k.Fields, Body: k.Body, Length: int64(len(k.Body))})
 }
 
+// holder is this life of the line, as claims name it: one that starts again has forgotten what it claimed.
+func (l *Line) holder() string { return l.Addr() + "/" + l.life }
+
 // repeat answers a request whose key ran here before.
 func (r *run) repeat(was kept) *wire.AnswerT {
 	switch {
@@ -90,7 +95,7 @@
 
 func (r *run) giveBack() {
 	r.in.keep.forget(r.q.Key)
-	r.in.line.home.release(&wire.ClaimT{Key: r.q.Key, Ticket: r.q.Ticket, Nth: r.q.Nth, Holder: r.in.line.Addr(), Release: true})
+	r.in.line.home.release(&wire.ClaimT{Key: r.q.Key, Ticket: r.q.Ticket, Nth: r.q.Nth, Holder: r.in.line.holder(), Release: true})
 }
 
 // recall is what this line knows of a key, for another.
--- a/internal/exchange/line/own.go
+++ b/internal/exchange/line/own.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -45,7 +46,8 @@
 
 // own is the server beside this line, as its beats tell of it, and the record that the others hear.
 type own struct {
-	line *Line
+	line    *Line
+	looking atomic.Bool // whether the server is there
 
 	mu      sync.Mutex // guards below
 	rec     directory.Record
@@ -105,14 +107,26 @@
 	return o.ep
 }
 
-// unreachable notes that nothing listens at the server's address.
+// unreachable looks whether nothing listens at the server's address, where an attempt could not begin: then the others
+// are told at once, and not when beats are missed.
 func (o *own) unreachable(ep *engine.Endpoint) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.ep == ep && o.rec.State == directory.Ready {
-		o.rec.State = directory.Down
-		o.publish()
+	if !o.looking.CompareAndSwap(false, true) {
+		return
 	}
+	go func() {
+		defer o.looking.Store(false)
+		c, err := net.DialTimeout("tcp4", ep.Addr, connectWithin)
+		if err == nil {
+			c.Close()
+			return
+		}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if o.ep == ep && o.rec.State == directory.Ready {
+			o.rec.State = directory.Down
+			o.publish()
+		}
+	}()
 }
 
 // leave has the others send nothing here any more, for the line ends.
--- a/internal/exchange/register/links.go
+++ b/internal/exchange/register/links.go
@@ -166,9 +166,11 @@
 	}
 }
 
-// beat is made on the connections' goroutines.
+// beat is made on the connections' goroutines. A register whose own goroutine hangs, on a disk for one, is in touch with
+// nobody.
 func (r *Register) beat() *wire.BeatT {
-	return &wire.BeatT{Touch: r.touch.Load()}
+	at := time.Duration(r.touch.Load())
+	return &wire.BeatT{Touch: at > 0 && r.now()-at < stuck}
 }
 
 func (r *Register) serve(c *trunk.Conn) {
--- a/internal/exchange/register/register.go
+++ b/internal/exchange/register/register.go
@@ -33,6 +33,7 @@
 	election      = 500 * time.Millisecond
 	dead          = 2 * time.Second
 	tick          = 50 * time.Millisecond
+	stuck         = 300 * time.Millisecond // without a tick
 	compactAt     = 4096                   // entries behind the snapshot
 	answerWithin  = 900 * time.Millisecond // callers move on after a second
 	vaultRest     = 100 * time.Millisecond
@@ -56,7 +57,7 @@
 	server *http.Server
 	ctx    context.Context
 	asks   trunk.Asks
-	touch  atomic.Bool // the core is in touch, as of the last tick
+	touch  atomic.Int64 // when the core was in touch, as of the last tick; 0: it is not
 
 	mu    sync.Mutex       // guards links
 	links map[string]*link // to other registers, by address
@@ -174,6 +175,9 @@
 	return nil
 }
 
+// Addr is the address of its trunks.
+func (r *Register) Addr() string { return r.self.Addr }
+
 // now is the steady clock.
 func (r *Register) now() time.Duration { return time.Since(r.start) }
 
@@ -398,7 +402,11 @@
 // tend sees to what time does to the tables.
 func (r *Register) tend() {
 	now := r.now()
-	r.touch.Store(r.core.InTouch(now) && !r.core.Outside())
+	if r.core.InTouch(now) && !r.core.Outside() {
+		r.touch.Store(int64(max(1, now)))
+	} else {
+		r.touch.Store(0)
+	}
 	if lead := r.core.Leader(); lead != r.led {
 		r.led = lead
 		r.log.Info().Uint64("leader", uint64(lead)).Str("addr", r.core.Addr(lead)).Uint64("term", r.core.Term()).Uint64("applied", r.core.Applied()).Msg("leader")
--- a/internal/exchange/switchroom/switchroom.go
+++ b/internal/exchange/switchroom/switchroom.go
@@ -22,6 +22,7 @@
 type Role interface {
 	Run(ctx context.Context) error
 	Reload(settings.Settings)
+	Addr() string // where it listens for its own kind
 }
 
 // Options are the command line.
@@ -72,6 +73,7 @@
 		log.Error().Err(err).Msg("start")
 		return 1
 	}
+	fmt.Fprintf(os.Stderr, "%s: %s listening on %s\n", name, set.NodeName, role.Addr())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
--- /dev/null
+++ b/internal/rig/mesh/mesh.go
@@ -0,0 +1,292 @@
+// Package mesh is a small mesh of real processes on loopback, each machine an address of its own, with stand-in servers
+// beside the lines and callers that keep a record. Tests and the tour use it.
+package mesh
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sigs.k8s.io/yaml"
+
+	"hollyspur/internal/exchange/settings"
+	"hollyspur/internal/rig"
+)
+
+const beatEvery = 300 * time.Millisecond
+
+// Machine is one machine of the mesh: a line with its server, or a register.
+type Machine struct {
+	Name, IP string
+	Process  *rig.Process // nil: it does not run
+	App      *App         // of a line
+	of       *Mesh
+	program  string
+	set      map[string]any
+	lives    int
+}
+
+// Mesh is all machines.
+type Mesh struct {
+	Dir       string
+	Registers []*Machine
+	Lines     []*Machine
+	Record    *Record
+	ports     []int
+	net       string
+	asked     atomic.Uint64
+	seeds     []string
+}
+
+// Build builds the mesh's programs into a folder.
+func Build(dir string) error {
+	for _, p := range []string{"line", "register"} {
+		if out, err := exec.Command("go", "build", "-o", filepath.Join(dir, p), "hollyspur/cmd/"+p).CombinedOutput(); err != nil {
+			return fmt.Errorf("building %s: %w\n%s", p, err, out)
+		}
+	}
+	return nil
+}
+
+// New starts a mesh: so many registers, and a line with a server for each service named.
+func New(dir string, registers int, services ...string) (*Mesh, error) {
+	m := &Mesh{Dir: dir, Record: NewRecord(), net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(256))}
+	for range 6 { // ports that are free at this moment, on addresses that nobody else is likely to use
+		l, err := net.Listen("tcp", m.net+".1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		m.ports = append(m.ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	for i := range min(3, registers) {
+		m.seeds = append(m.seeds, fmt.Sprintf("%s.%d:%d", m.net, 10+i, m.ports[0]))
+	}
+	for range registers {
+		if _, err := m.AddRegister(true); err != nil {
+			return m, err
+		}
+	}
+	for _, s := range services {
+		if _, err := m.AddLine(s); err != nil {
+			return m, err
+		}
+	}
+	return m, nil
+}
+
+// settings are what every machine is told alike.
+func (m *Mesh) settings(name, ip, zone string) map[string]any {
+	return map[string]any{"NodeName": name, "IpAddress": ip, "Zone": zone, "Region": "r", "InternalPortRange": []int{m.ports[1], m.ports[1] + 15},
+		"SeedNodes": m.seeds, "HeartbeatS": beatEvery.Seconds(), "FaultTolerance": map[string]any{"Machines": 1},
+		"Bounds": map[string]any{"DrainS": 2, "GraceS": 3, "KeyWindowS": 60, "ConfigApplyS": 2, "AckS": 5, "RetryBudgetRatio": 0.2, "RetryWindowS": 10, "RetrySlack": 50},
+		"Limits": map[string]any{"MemoryMb": 256, "MaxFds": 1024}}
+}
+
+// AddRegister starts another register.
+func (m *Mesh) AddRegister(first bool) (*Machine, error) {
+	n := len(m.Registers)
+	x := &Machine{Name: fmt.Sprintf("core-%d", n+1), IP: fmt.Sprintf("%s.%d", m.net, 10+n), of: m, program: "register"}
+	x.set = m.settings(x.Name, x.IP, fmt.Sprintf("zone-%d", n%3))
+	x.set["ListenAddrs"] = map[string]any{"ControlPlane": fmt.Sprintf("%s:%d", x.IP, m.ports[0])}
+	x.set["DataDir"] = filepath.Join(m.Dir, x.Name)
+	x.set["FirstStart"] = first
+	m.Registers = append(m.Registers, x)
+	return x, x.Start()
+}
+
+// AddLine starts another line with a server of that service beside it.
+func (m *Mesh) AddLine(service string) (*Machine, error) {
+	n := len(m.Lines)
+	x := &Machine{Name: fmt.Sprintf("side-%d", n+1), IP: fmt.Sprintf("%s.%d", m.net, 100+n), of: m, program: "line"}
+	zone := fmt.Sprintf("zone-%d", n%3)
+	at := func(i int) string { return fmt.Sprintf("%s:%d", x.IP, m.ports[i]) }
+	x.set = m.settings(x.Name, x.IP, zone)
+	x.set["ListenAddrs"] = map[string]any{"ControlPlane": at(0), "Inbound": at(2), "Outbound": at(3), "Readiness": at(4)}
+	x.set["AppAddress"], x.set["Service"] = at(5), service
+	m.Lines = append(m.Lines, x)
+	if err := x.Start(); err != nil {
+		return x, err
+	}
+	return x, x.StartApp()
+}
+
+// StartApp starts a server beside a line, as a new instance.
+func (x *Machine) StartApp() (err error) {
+	x.lives++
+	at := x.set["ListenAddrs"].(map[string]any)
+	x.App, err = newApp(x.set["Service"].(string), fmt.Sprintf("i-%s-%d", x.Name, x.lives), x.set["AppAddress"].(string), at["ControlPlane"].(string), x.set["Zone"].(string), x.of.Record)
+	return err
+}
+
+// Start starts the machine's program, with the settings as they are now.
+func (x *Machine) Start() error {
+	text, err := yaml.Marshal(x.set)
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(x.of.Dir, x.Name+".yaml")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return err
+	}
+	cmd := exec.Command(filepath.Join(x.of.Dir, x.program), "-v")
+	cmd.Env = append(os.Environ(), settings.Env+"="+file)
+	x.Process, err = rig.StartCommand(cmd, file)
+	x.set["FirstStart"] = false
+	return err
+}
+
+// Kill ends the program at once.
+func (x *Machine) Kill() {
+	if x.Process != nil {
+		x.Process.Kill()
+		x.Process = nil
+	}
+}
+
+// Wipe removes what a register's disk holds; it must not run.
+func (x *Machine) Wipe() error { return os.RemoveAll(x.set["DataDir"].(string)) }
+
+// Data is a register's data folder.
+func (x *Machine) Data() string { return x.set["DataDir"].(string) }
+
+// At is one of the machine's addresses, by its name in the settings.
+func (x *Machine) At(name string) string {
+	a, _ := x.set["ListenAddrs"].(map[string]any)[name].(string)
+	return a
+}
+
+// Close ends all processes.
+func (m *Mesh) Close() {
+	var all sync.WaitGroup
+	for _, x := range append(append([]*Machine(nil), m.Registers...), m.Lines...) {
+		if x.App != nil {
+			x.App.server.Close()
+		}
+		all.Go(x.Kill)
+	}
+	all.Wait()
+}
+
+// Ready waits until all lines that run are.
+func (m *Mesh) Ready(within time.Duration) bool {
+	return rig.Await(within, func() bool {
+		for _, x := range m.Lines {
+			if x.Process == nil {
+				continue
+			}
+			c := http.Client{Timeout: time.Second}
+			resp, err := c.Get("http://" + x.At("Readiness") + "/v1/readiness")
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Route words a route for Modify.
+func Route(name, kind, prefix, service string, version int) map[string]any {
+	return map[string]any{"Name": name, "RouteType": kind, "TargetLatencyS": 1, "Priority": 1, "ConfigVersion": version,
+		"MatchCriteria": map[string]any{"PathPrefix": prefix}, "ForwardAction": map[string]any{"Service": service, "TimeoutS": 3, "RetryCount": 2}}
+}
+
+// Modify words an operator's call of services and routes on one host.
+func Modify(version int, services []string, routes ...map[string]any) []byte {
+	var groups []map[string]any
+	for _, s := range services {
+		groups = append(groups, map[string]any{"Name": s, "HealthPath": "/health", "MaxConnections": 100, "Protocol": "h1", "ConfigVersion": version})
+	}
+	text, _ := json.Marshal(map[string]any{"Upsert": map[string]any{"UpstreamGroups": groups,
+		"ListenerList": []any{map[string]any{"HostName": Host, "PolicyRules": routes}}}})
+	return text
+}
+
+// Host is that of all routes.
+const Host = "shop.example"
+
+// Operate sends an operator's call to a register; 0: no answer.
+func (x *Machine) Operate(body []byte) (status int, text string) {
+	c := http.Client{Timeout: 2 * time.Second}
+	resp, err := c.Post("http://"+x.At("ControlPlane")+"/v1/configuration/modify", "application/json", bytes.NewReader(body))
+	return answer(resp, err)
+}
+
+// Fetch reads the configuration from a register.
+func (x *Machine) Fetch() (status int, text string) {
+	c := http.Client{Timeout: 2 * time.Second}
+	resp, err := c.Get("http://" + x.At("ControlPlane") + "/v1/configuration/fetch")
+	return answer(resp, err)
+}
+
+func answer(resp *http.Response, err error) (int, string) {
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(text)
+}
+
+// Told is what became of a request.
+type Told struct {
+	Attempt, Seal, Body string
+	Status              int // 0: no answer
+	RetryAfter          string
+}
+
+// Call sends one request to a line, with an id of its own. key may be empty.
+func (x *Machine) Call(method, path, key string, body []byte) Told {
+	m := x.of
+	t := Told{Attempt: fmt.Sprintf("a%d", m.asked.Add(1))}
+	r, err := http.NewRequest(method, "http://"+x.At("Outbound")+path, bytes.NewReader(body))
+	if err != nil {
+		return t
+	}
+	r.Host = Host
+	r.Header.Set("Attempt-Id", t.Attempt)
+	r.Header.Set("Time-Budget", "3000")
+	if key != "" {
+		r.Header.Set("Operation-Key", key)
+	}
+	c := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := c.Do(r)
+	if err != nil {
+		return t
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return t
+	}
+	t.Status, t.Body, t.Seal, t.RetryAfter = resp.StatusCode, string(text), resp.Header.Get("Server-Seal"), resp.Header.Get("Retry-After")
+	runs := m.Record.Runs(t.Attempt)
+	switch {
+	case t.Status/100 == 2 && t.Seal == "":
+		m.Record.fault("MIXED: %s has a success without a seal", t.Attempt)
+	case t.Status/100 == 2 && key == "" && t.Seal != "seal."+t.Attempt:
+		m.Record.fault("MIXED: %s has %s", t.Attempt, t.Seal)
+	case resp.Header.Get("Attempt-Id") != t.Attempt:
+		m.Record.fault("MIXED: %s has the answer to %s", t.Attempt, resp.Header.Get("Attempt-Id"))
+	case (t.Status == 503 || t.Status == 429) && key != "" && len(runs) > 0:
+		m.Record.fault("REFUSED: %s has run and is answered %d", t.Attempt, t.Status)
+	}
+	return t
+}
