--- a/internal/sender/http1/read.go
+++ b/internal/sender/http1/read.go
@@ -50,8 +50,8 @@
 // said of whether the request has run.
 func (s *Sender) read(ctx context.Context, a *engine.Attempt, c *conn, r *http.Request) (answer, error) {
 	stray := false
+	c.limit.N = maxHeads
 	for {
-		c.limit.N = maxHeads
 		if _, err := c.r.Peek(1); err != nil {
 			return answer{}, err
 		}
@@ -75,7 +75,7 @@
 			if _, err := io.Copy(io.Discard, quiet{c, resp.Body, s.quietWithin}); err != nil || stray || resp.Close {
 				return answer{}, errors.Join(errStray, err)
 			}
-			stray = true
+			stray, c.limit.N = true, maxHeads
 			if err := c.SetReadDeadline(time.Time{}); err != nil {
 				return answer{}, err
 			}
