A key that no majority can grant is refused at once and blamed on no server; trunks beat by need

Cause: while the core was down keyed requests waited 0.8 s for their claim, filled the module's window, and the refusal counted as a server without room, so that everything was refused (645 of 951 requests of the two seconds after a wipe). Lines that hear of no majority refuse keyed requests before the module. Idle cords beat every 1.5 s.

--- a/internal/exchange/line/cord.go
+++ b/internal/exchange/line/cord.go
@@ -23,6 +23,7 @@
 	endNotHere                // the line turned it away: it has not run
 	endBroken                 // it may have run
 	endTimedOut               // it may have run
+	endNoKey                  // the registers could not grant its key: it has not run, and no other server would do better
 )
 
 const (
@@ -59,6 +60,7 @@
 	id     uint64
 	c      *trunk.Conn
 	stream *message.Stream // of an answer that comes in pieces
+	noKey  bool            // of an Answer that said so; read once ended
 	ended  chan struct{}
 	ending hollyspur.Ending
 	reply  *message.Reply
@@ -133,7 +135,7 @@
 		return hollyspur.Void, nil
 	}
 	nth := int(o.tries.Load())
-	if nth >= o.route.Attempts {
+	if nth >= o.route.Attempts || o.noKey.Load() {
 		return hollyspur.Void, nil
 	}
 	x := s.cord(a.Endpoint.Addr)
@@ -177,6 +179,10 @@
 		}
 		p.end(engine.EndingOf(ctx), nil)
 	}
+	if p.noKey {
+		o.noKey.Store(true)
+		return hollyspur.Void, nil
+	}
 	if p.ending == hollyspur.Failure && p.reply != nil {
 		m.Fail(p.reply)
 		return p.ending, nil
@@ -261,6 +267,7 @@
 		return false
 	}
 	x.open[p.id] = p
+	p.c.Open(1)
 	return true
 }
 
@@ -268,6 +275,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	delete(x.open, p.id)
+	p.c.Open(-1)
 }
 
 func (x *cord) find(c *trunk.Conn, id uint64) *sent {
@@ -344,6 +352,14 @@
 }
 
 func (p *sent) answer(v *wire.AnswerT) {
+	if v.Ending == endNoKey {
+		p.once.Do(func() {
+			p.noKey, p.ending = true, hollyspur.Void
+			p.credit.close()
+			close(p.ended)
+		})
+		return
+	}
 	ending, known := endings[v.Ending]
 	if !known {
 		ending = hollyspur.Broken
--- a/internal/exchange/line/inbound.go
+++ b/internal/exchange/line/inbound.go
@@ -22,7 +22,7 @@
 const (
 	serverIdle    = 8 * time.Second // after which servers are taken to close idle connections
 	connectWithin = 1500 * time.Millisecond
-	claimWithin   = 800 * time.Millisecond
+	claimWithin   = 400 * time.Millisecond
 	mostAnswer    = 64 << 10
 )
 
@@ -147,8 +147,10 @@
 	of.open[q.Id] = r
 	of.mu.Unlock()
 	in.open.Add(1)
+	of.c.Open(1)
 	go func() {
 		defer in.open.Add(-1)
+		defer of.c.Open(-1)
 		defer cancel(nil)
 		a := r.serve(ctx)
 		of.mu.Lock()
--- a/internal/exchange/line/keys.go
+++ b/internal/exchange/line/keys.go
@@ -26,7 +26,7 @@
 	case err != nil:
 		// It may be granted all the same, but it never ran: so that is said, and the key given back.
 		r.giveBack()
-		return &wire.AnswerT{Ending: endOverloaded}
+		return &wire.AnswerT{Ending: endNoKey}
 	case grant.Granted:
 		in.keep.set(q.Key, running, nil)
 		return nil
@@ -43,7 +43,7 @@
 	case k.Running:
 		return r.inWork()
 	case k.Status == 0: // it never ran, and its key is on the way back
-		return &wire.AnswerT{Ending: endOverloaded}
+		return &wire.AnswerT{Ending: endNoKey}
 	}
 	return r.again(&wire.AnswerT{Status: k.Status, Fields: k.Fields, Body: k.Body, Length: int64(len(k.Body))})
 }
--- a/internal/exchange/line/outbound.go
+++ b/internal/exchange/line/outbound.go
@@ -34,6 +34,8 @@
 	longestKey = 1024
 	leastRetry = 50 * time.Millisecond
 	mostRetry  = 500 * time.Millisecond
+	// refusedRetry is the advice, in seconds, with a refusal that no module gives.
+	refusedRetry = "0.3"
 )
 
 // order is what the line knows of a request beyond its form. It is the Note of its message.
@@ -44,6 +46,7 @@
 	key     string
 	ticket  string
 	tries   atomic.Int32 // attempts that went out
+	noKey   atomic.Bool  // the registers could not grant its key: no more of them
 }
 
 // routes implements front.Routes.
@@ -112,6 +115,9 @@
 	}
 	h := hr.Header
 	o := &order{route: r, service: l.pools.get(p.Name()), attempt: h.Get(hAttempt), key: h.Get(hKey)}
+	if r.Kind == dialplan.Keyed && !l.home.inTouch() {
+		return nil, &front.Refusal{Status: http.StatusServiceUnavailable, Text: "no majority of registers to grant the key", Retry: true, Keep: bodiless(hr)}
+	}
 	limits := l.plan.Load().Limits
 	budget, err := strconv.ParseFloat(h.Get(hBudget), 64)
 	switch {
@@ -173,6 +179,6 @@
 		h.Set(hAttempt, id)
 	}
 	if r.Retry {
-		h.Set(hRetry, "0.2")
+		h.Set(hRetry, refusedRetry)
 	}
 }
--- a/internal/exchange/register/links.go
+++ b/internal/exchange/register/links.go
@@ -79,6 +79,7 @@
 		r.log.Debug().Err(err).Msg("link")
 		return
 	}
+	c.Open(1)
 	// What it may have missed.
 	r.Do(func() { c.Send(directory.Wire(r.dir.All())) })
 	for {
--- a/internal/exchange/trunk/trunk.go
+++ b/internal/exchange/trunk/trunk.go
@@ -30,8 +30,9 @@
 	mostQueued  = 8 << 20 // bytes that wait to be written; beyond that the other side does not read
 	writeWithin = 2 * time.Second
 	DialWithin  = 800 * time.Millisecond
-	Every       = 300 * time.Millisecond // beats
+	Every       = 300 * time.Millisecond // beats, where one side has something open
 	Silence     = 1200 * time.Millisecond
+	Calm        = 5 // times as long, both, where nothing is
 )
 
 // Errors of this layer.
@@ -145,6 +146,8 @@
 	beat  func() []byte
 	// always: beats go out whatever else was said
 	always bool
+	open   atomic.Int64 // what this side waits for on it, or works on
+	busy   atomic.Int64 // Unix ns since when there is anything
 	heard  atomic.Int64 // Unix ns of the latest frame
 
 	mu     sync.Mutex // guards below
@@ -209,6 +212,15 @@
 	return c, nil
 }
 
+// Open counts what this side waits for on the connection, or works on for the other: both sides beat often while there is
+// any, for whoever waits must find out soon that the other has gone.
+func (c *Conn) Open(n int64) {
+	if n > 0 && c.open.Load() == 0 {
+		c.busy.Store(time.Now().UnixNano())
+	}
+	c.open.Add(n)
+}
+
 // Send queues a message. It does not wait; where the other side does not read, the connection ends.
 func (c *Conn) Send(v any) error { return c.SendFrame(Encode(v)) }
 
@@ -238,7 +250,7 @@
 func (c *Conn) write() {
 	tick := time.NewTicker(Every)
 	defer tick.Stop()
-	idle := false
+	idle := 0 // ticks in which nothing was said
 	for {
 		var out net.Buffers
 		select {
@@ -246,12 +258,12 @@
 			return
 		case <-c.wake:
 		case <-tick.C:
-			if time.Since(time.Unix(0, c.heard.Load())) > Silence {
+			now, heard, calm := time.Now().UnixNano(), c.heard.Load(), c.open.Load() == 0
+			if silent := now - heard; silent > int64(Calm*Silence) || !calm && now-max(heard, c.busy.Load()) > int64(Silence) {
 				c.Close(errors.New("the other side of the trunk is silent"))
 				return
 			}
-			if !idle && !c.always {
-				idle = true
+			if idle++; !c.always && (idle < 2 || calm && idle < Calm) {
 				continue
 			}
 			out = append(out, c.beat())
@@ -263,7 +275,7 @@
 		if len(out) == 0 {
 			continue
 		}
-		idle = false
+		idle = 0
 		c.nc.SetWriteDeadline(time.Now().Add(writeWithin))
 		var err error
 		if len(out) == 1 {
