Cold servers count by their warmth in a mesh; callers hear at once when to come while nothing is confirmed

Cause of the worst windows (after all power was lost): a cold server's part of the window was one call of twelve, so each line admitted two; and callers' connections lay in the backlog until the first table came. Ruled out: refusing connections until then (clients use up their tries: 138 failed in two seconds, 0 refused).

--- a/admission.go
+++ b/admission.go
@@ -90,7 +90,9 @@
 			b.astray += max(0, s.calls-max(crowding, 1+int(part)))
 			if b.away(s) {
 				out++
-			} else if w := b.warmth(s); w < 1 {
+			} else if w := b.warmth(s); w < 1 && b.whole {
+				b.usable += w
+			} else if w < 1 {
 				b.usable += b.coldRoom(w) / b.takes
 			} else {
 				b.usable += min(1, float64(b.roomy(s))/max(1, part))
--- a/internal/exchange/line/line.go
+++ b/internal/exchange/line/line.go
@@ -27,6 +27,7 @@
 	"hollyspur/internal/exchange/settings"
 	"hollyspur/internal/exchange/trunk"
 	front "hollyspur/internal/front/http1"
+	"hollyspur/internal/pool"
 	sender "hollyspur/internal/sender/http1"
 )
 
@@ -36,6 +37,7 @@
 	endSlack    = 700 * time.Millisecond  // of GraceS, for the end itself
 	refresh     = 5 * time.Second         // of its record
 	lineSilence = 45 * time.Second
+	callerIdle  = 15 * time.Second // after which a caller's connection is closed
 )
 
 // Line is one line.
@@ -46,7 +48,8 @@
 	life  string // of this process, in tickets
 	ctx   context.Context
 
-	front     *front.Front
+	front     atomic.Pointer[front.Front]
+	callers   *pool.Share
 	serving   atomic.Bool // the front is
 	stopping  atomic.Bool
 	pools     *pools
@@ -95,16 +98,33 @@
 	l.readiness = listen("Readiness", set.ListenAddrs.Readiness)
 	l.calls = listen("ControlPlane", set.ListenAddrs.ControlPlane)
 	l.trunks = listen("Inbound", set.ListenAddrs.Inbound)
-	out := listen("Outbound", set.ListenAddrs.Outbound)
 	if err != nil {
 		return nil, err
 	}
-	l.front = front.New(out, l.clock, routes{l}, budgets.callers)
-	l.front.Speech = speech{l}
-	l.front.LookAhead()
+	l.callers = budgets.callers
 	return l, nil
 }
 
+// open has callers come. Until the items are confirmed they are told when to come again: a connection that is refused
+// would cost them a try and tell them nothing.
+func (l *Line) open() error {
+	out, err := net.Listen("tcp4", l.set.Load().ListenAddrs.Outbound)
+	if err != nil {
+		return errors.Annotate(err, "Outbound")
+	}
+	f := front.New(out, l.clock, routes{l}, l.callers)
+	f.Speech = speech{l}
+	f.LookAhead()
+	f.Idle(callerIdle)
+	l.front.Store(f)
+	go func() {
+		if err := f.Serve(); err != http.ErrServerClosed && !l.stopping.Load() {
+			l.log.Error().Err(err).Msg("the front ended")
+		}
+	}()
+	return nil
+}
+
 // Addr is the address of its trunk, by which the others name it.
 func (l *Line) Addr() string { return l.set.Load().ListenAddrs.Inbound }
 
@@ -126,6 +146,9 @@
 	})
 	ready, calls := control.Serve(mux), control.Serve(l.own.handlers())
 	l.servers = []*http.Server{ready, calls}
+	if err := l.open(); err != nil {
+		return err
+	}
 	go ready.Serve(l.readiness)
 	go calls.Serve(l.calls)
 	go l.inbound.accept(l.trunks)
@@ -141,17 +164,9 @@
 	if !l.serving.CompareAndSwap(false, true) {
 		return
 	}
-	if idle := l.plan.Load().Limits.IdleTimeoutS.D(); idle > 0 {
-		l.front.Idle(idle)
-	}
 	if g := l.plan.Load().Groups[l.set.Load().Service]; g.HealthPath != "" {
 		go l.own.probe(g.HealthPath)
 	}
-	go func() {
-		if err := l.front.Serve(); err != http.ErrServerClosed && !l.stopping.Load() {
-			l.log.Error().Err(err).Msg("the front ended")
-		}
-	}()
 }
 
 // stop has callers leave, then ends what is open in the time that is left.
@@ -160,20 +175,23 @@
 	grace := l.set.Load().Bounds.GraceS.D()
 	l.stopping.Store(true)
 	l.own.leave()
-	l.front.LeadAway(true)
+	f := l.front.Load()
+	if f != nil {
+		f.LeadAway(true)
+	}
 	deadline := began.Add(max(grace-endSlack, grace/2))
 	lead := time.NewTicker(100 * time.Millisecond)
 	defer lead.Stop()
 	for time.Since(began) < min(leadFor, grace/2) {
 		<-lead.C
-		if time.Since(began) > time.Second {
-			l.front.LeadIdle()
+		if f != nil && time.Since(began) > time.Second {
+			f.LeadIdle()
 		}
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if l.serving.Load() {
-		l.front.Shutdown(ctx)
+	if f != nil {
+		f.Shutdown(ctx)
 	}
 	for l.inbound.open.Load() > 0 && ctx.Err() == nil {
 		<-lead.C
--- a/internal/exchange/line/outbound.go
+++ b/internal/exchange/line/outbound.go
@@ -56,6 +56,9 @@
 func (l routes) Route(hr *http.Request) (*pool.Pool, string, *front.Refusal) {
 	path, _, _ := strings.Cut(hr.RequestURI, "?")
 	r := l.plan.Load().Find(hr.Host, path)
+	if !l.serving.Load() {
+		return nil, "", &front.Refusal{Status: http.StatusServiceUnavailable, Text: "no confirmed configuration yet", Retry: true, Keep: bodiless(hr)}
+	}
 	if r == nil {
 		return nil, "", &front.Refusal{Status: http.StatusNotFound, Text: "no route", Keep: bodiless(hr)}
 	}
