A leader that ends yields; homes are those that speak first; what was begun ahead is answered before a connection is led away

Need: SIGTERM of the leading register left the core without one for 0.6 s; a register that stands still takes connections; a register with a full disk did not end at SIGTERM.

--- a/internal/exchange/core/core.go
+++ b/internal/exchange/core/core.go
@@ -70,6 +70,7 @@
 	Install                      // a snapshot
 	Join                         // take me in
 	NotMember                    // you are none; Members are
+	Yield                        // the leader ends: take over
 )
 
 // Message goes between registers. To is the id that it is meant for; another at that address drops it.
@@ -111,6 +112,9 @@
 	leader
 )
 
+// yielded is the Hint of an Elect that the leader asked for: those who hear of it vote all the same.
+const yielded = 1
+
 // progress is what a leader knows of another.
 type progress struct {
 	Member
@@ -143,6 +147,7 @@
 	outsider time.Duration // told so then
 	joined   time.Duration // asked to be taken in then
 	votes    map[ID]bool   // of this election, by id: yes or no
+	yielded  bool          // the leader has asked for this one's election
 
 	peers     map[ID]*progress // a leader's: members and joiners
 	seq       uint64
@@ -430,7 +435,11 @@
 	c.votes = map[ID]bool{c.cfg.Self.ID: true}
 	for _, m := range c.members {
 		if m.ID != c.cfg.Self.ID {
-			c.after = append(c.after, Message{Kind: kind, From: c.cfg.Self.ID, To: m.ID, Term: term, Index: c.last(), LogTerm: c.lastTerm()})
+			x := Message{Kind: kind, From: c.cfg.Self.ID, To: m.ID, Term: term, Index: c.last(), LogTerm: c.lastTerm()}
+			if c.yielded {
+				x.Hint = yielded
+			}
+			c.after = append(c.after, x)
 		}
 	}
 	c.count()
@@ -485,6 +494,23 @@
 	}
 }
 
+// Yield has the member that is furthest take over, for this one is about to end.
+func (c *Core) Yield(now time.Duration) {
+	c.now = max(c.now, now)
+	if c.role != leader {
+		return
+	}
+	var best *progress
+	for _, m := range c.members {
+		if p := c.peers[m.ID]; p != nil && c.now-p.heard < c.cfg.Election && (best == nil || p.match > best.match) {
+			best = p
+		}
+	}
+	if best != nil {
+		c.after = append(c.after, Message{Kind: Yield, From: c.cfg.Self.ID, To: best.ID, Term: c.term})
+	}
+}
+
 // Tell has the others hear at once of what is committed, which goes with the next beat otherwise.
 func (c *Core) Tell(now time.Duration) {
 	c.now = max(c.now, now)
@@ -664,7 +690,7 @@
 		}
 		return
 	case m.Term > c.term:
-		if m.Kind == Elect && (!c.isMember(m.From) || c.hears()) {
+		if m.Kind == Elect && (!c.isMember(m.From) || c.hears() && m.Hint != yielded) {
 			c.stranger(m)
 			return // one that was let go, or can't hear the leader, does not unseat it
 		}
@@ -694,6 +720,12 @@
 		} else {
 			c.takeAppend(m)
 		}
+	case Yield:
+		if c.role == follower && m.From == c.lead && c.isMember(c.cfg.Self.ID) {
+			c.yielded = true
+			c.campaign(candidate)
+			c.yielded = false
+		}
 	case Appended:
 		c.takeAppended(m)
 	case Elect:
--- a/internal/exchange/core/members_test.go
+++ b/internal/exchange/core/members_test.go
@@ -283,3 +283,17 @@
 	f.write("behind it")
 	f.whole("a", "b", "c")
 }
+
+// A leader that is about to end has another take over, well before anybody would miss it.
+func TestYield(t *testing.T) {
+	f := newFleet(t, 7, "a", "b", "c")
+	f.run(2 * time.Second)
+	f.write("one")
+	l := f.leader()
+	l.c.Yield(f.now)
+	f.turn(l.self.Addr)
+	f.run(100 * time.Millisecond)
+	assert.Assert(t, f.leader() != nil && f.leader() != l && !l.c.Leads())
+	f.write("two")
+	f.whole("a", "b", "c")
+}
--- a/internal/exchange/line/home.go
+++ b/internal/exchange/line/home.go
@@ -23,7 +23,6 @@
 	askWithin  = time.Second
 	outOfTouch = 250 * time.Millisecond // that a home may be without a leader
 	dialWithin = 600 * time.Millisecond
-	dialStep   = 30 * time.Millisecond
 )
 
 // home is the register that this line hears of all else from; another one takes its place when it is silent or hears of
@@ -79,9 +78,9 @@
 	go h.giveBack()
 	last := ""
 	for l.ctx.Err() == nil {
-		if c := h.dial(last); c != nil {
-			last = c.Remote()
-			h.follow(c)
+		if g := h.dial(last); g != nil {
+			last = g.c.Remote()
+			h.follow(g.c, g.first)
 		}
 		select {
 		case <-time.After(homeRest):
@@ -90,8 +89,15 @@
 	}
 }
 
-// dial connects with whichever register is there first, of all that are known but the one that was left last.
-func (h *home) dial(but string) *trunk.Conn {
+// greeted is a register that spoke.
+type greeted struct {
+	c     *trunk.Conn
+	first trunk.Message
+}
+
+// dial connects with whichever register speaks first, of all that are known but the one that was left last: that is one
+// of this zone, as a rule, and none that stands still while its machine takes connections.
+func (h *home) dial(but string) *greeted {
 	l := h.line
 	ctx, cancel := context.WithTimeout(l.ctx, dialWithin)
 	defer cancel()
@@ -104,40 +110,42 @@
 	if len(addrs) == 0 {
 		addrs = []string{but}
 	}
-	got := make(chan *trunk.Conn, len(addrs))
-	for n, a := range addrs {
+	got := make(chan *greeted, len(addrs))
+	for _, a := range addrs {
 		go func() {
-			select { // each has a moment before the next one is tried, too
-			case <-time.After(time.Duration(n) * dialStep):
-			case <-ctx.Done():
+			c, err := trunk.Dial(ctx, a, &wire.HelloT{Name: l.set.Load().NodeName, Addr: l.Addr(), Zone: l.set.Load().Zone}, nil)
+			if err != nil {
 				got <- nil
 				return
 			}
-			c, err := trunk.Dial(ctx, a, &wire.HelloT{Name: l.set.Load().NodeName, Addr: l.Addr(), Zone: l.set.Load().Zone}, nil)
-			if err != nil {
-				c = nil
+			stop := context.AfterFunc(ctx, func() { c.Close(ctx.Err()) })
+			m, err := c.Receive()
+			if !stop() || err != nil {
+				c.Close(err)
+				got <- nil
+				return
 			}
-			got <- c
+			got <- &greeted{c, m}
 		}()
 	}
 	for n := range addrs {
-		if c := <-got; c != nil {
+		if g := <-got; g != nil {
 			cancel()
 			go func() { // those that came up all the same
 				for range len(addrs) - n - 1 {
-					if c := <-got; c != nil {
-						c.Close(nil)
+					if g := <-got; g != nil {
+						g.c.Close(nil)
 					}
 				}
 			}()
-			return c
+			return g
 		}
 	}
 	return nil
 }
 
 // follow stays with a home for as long as it is one.
-func (h *home) follow(c *trunk.Conn) {
+func (h *home) follow(c *trunk.Conn, first trunk.Message) {
 	l := h.line
 	h.c.Store(c)
 	l.log.Info().Str("register", c.Remote()).Msg("home")
@@ -149,11 +157,7 @@
 	c.Send(directory.Wire([]directory.Record{l.own.record()}))
 	go h.confirm(c)
 	last := time.Now() // that it was in touch
-	for {
-		m, err := c.Receive()
-		if err != nil {
-			return
-		}
+	for m := first; ; {
 		switch v := m.Value.(type) {
 		case *wire.BeatT:
 			h.touch.Store(v.Touch)
@@ -178,6 +182,10 @@
 		case *wire.ToldT:
 			l.asks.Told(c, v)
 		}
+		var err error
+		if m, err = c.Receive(); err != nil {
+			return
+		}
 	}
 }
 
--- a/internal/exchange/register/register.go
+++ b/internal/exchange/register/register.go
@@ -34,6 +34,7 @@
 	dead          = 2 * time.Second
 	tick          = 50 * time.Millisecond
 	stuck         = 300 * time.Millisecond // without a tick
+	yieldFor      = 400 * time.Millisecond // of a register that is to end
 	compactAt     = 4096                   // entries behind the snapshot
 	answerWithin  = 900 * time.Millisecond // callers move on after a second
 	vaultRest     = 100 * time.Millisecond
@@ -56,6 +57,7 @@
 	calls  net.Listener
 	server *http.Server
 	ctx    context.Context
+	ending <-chan struct{} // closed when the process is to end
 	asks   trunk.Asks
 	touch  atomic.Int64 // when the core was in touch, as of the last tick; 0: it is not
 
@@ -196,12 +198,13 @@
 func (r *Register) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	r.ctx = work
+	r.ctx, r.ending = work, ctx.Done()
 	r.server = r.handlers()
 	go r.server.Serve(r.calls)
 	go r.accept()
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	var over <-chan time.Time // of the time in which another leader takes over, and what was taken is answered
 	for {
 		select {
 		case f := <-r.events:
@@ -219,6 +222,12 @@
 			r.core.Tick(r.now())
 			r.tend()
 		case <-ctx.Done():
+			if over == nil {
+				r.core.Yield(r.now())
+				over = time.After(yieldFor)
+				ctx = context.Background()
+			}
+		case <-over:
 			r.stop()
 			return nil
 		}
@@ -246,7 +255,9 @@
 		}
 		r.sendAll(rd.Before)
 		if rd.Must() {
-			r.save(rd)
+			if !r.save(rd) {
+				return // it ends, and nothing that rests on this was said
+			}
 			r.core.Saved(rd)
 		}
 		r.sendAll(rd.After)
@@ -271,7 +282,7 @@
 }
 
 // save writes until it is written: without the disk this register may say nothing that rests on it.
-func (r *Register) save(rd core.Ready) {
+func (r *Register) save(rd core.Ready) bool {
 	for tries := 0; ; tries++ {
 		err := r.vault.Save(rd, r.logged)
 		if err == nil {
@@ -282,8 +293,8 @@
 		}
 		select {
 		case <-time.After(vaultRest):
-		case <-r.ctx.Done():
-			return
+		case <-r.ending:
+			return false
 		}
 		if err := r.vault.Reopen(); err != nil && tries%10 == 0 {
 			r.log.Error().Err(err).Msg("the vault can't be opened again")
@@ -294,6 +305,7 @@
 	} else if rd.Snapshot != nil {
 		r.logged = rd.Snapshot.Index
 	}
+	return true
 }
 
 func (r *Register) applyAll(l []core.Entry) {
--- a/internal/front/http1/ahead.go
+++ b/internal/front/http1/ahead.go
@@ -158,7 +158,7 @@
 	for {
 		a.mu.Lock()
 		n := -1
-		if !a.off && c.busy.Load() && len(a.begun) < mostAhead {
+		if !a.off && !f.leading.Load() && c.busy.Load() && len(a.begun) < mostAhead {
 			n = bytes.Index(a.seen, headEnd)
 		}
 		if n < 0 {
@@ -191,6 +191,13 @@
 	}
 }
 
+// follows says that a request which was begun waits for its turn to be answered.
+func (a *ahead) follows() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.begun) > 0
+}
+
 // failing says that there is no more.
 type failing struct{}
 
--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -187,7 +187,7 @@
 }
 
 // pass writes a streamed answer as it comes. false: it is not whole, and its caller must see that.
-func (f *Front) pass(ctx context.Context, w http.ResponseWriter, st *message.Stream) bool {
+func (f *Front) pass(ctx context.Context, w http.ResponseWriter, st *message.Stream, from *caller) bool {
 	defer st.Release()
 	rc := http.NewResponseController(w)
 	h := w.Header()
@@ -198,7 +198,7 @@
 	if st.Length >= 0 {
 		h.Set("Content-Length", itoa(st.Length))
 	}
-	f.lead(w)
+	f.lead(w, from)
 	if st.Status != 0 {
 		w.WriteHeader(st.Status)
 	}
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -180,8 +180,8 @@
 func (f *Front) Open() int { return f.callers.open() }
 
 // lead ends the connection with the answer, if callers are led away. HTTP/2 says it with GOAWAY.
-func (f *Front) lead(w http.ResponseWriter) {
-	if f.leading.Load() {
+func (f *Front) lead(w http.ResponseWriter, from *caller) {
+	if f.leading.Load() && (from == nil || from.ahead == nil || !from.ahead.follows()) { // else the last of them ends it
 		w.Header().Set("Connection", "close")
 	}
 }
@@ -319,8 +319,8 @@
 		select {
 		case x := <-c.came:
 			if x.stream == nil {
-				f.write(w, c, x.answer)
-			} else if !f.pass(hr.Context(), w, x.stream) {
+				f.write(w, c, x.answer, from)
+			} else if !f.pass(hr.Context(), w, x.stream, from) {
 				f.abort(hr, p, c, from)
 			}
 		case <-arrived:
@@ -359,7 +359,7 @@
 func (f *Front) refuse(w http.ResponseWriter, hr *http.Request, from *caller, err *Refusal) {
 	f.Speech.Refuse(w.Header(), hr, err)
 	rc := http.NewResponseController(w)
-	f.lead(w)
+	f.lead(w, from)
 	if err.Keep || hr.ProtoMajor > 1 {
 		http.Error(w, err.Text, err.Status)
 		return
@@ -433,8 +433,8 @@
 }
 
 // write writes a final answer that nothing of went before.
-func (f *Front) write(w http.ResponseWriter, c *call, a engine.Answer) {
-	f.lead(w)
+func (f *Front) write(w http.ResponseWriter, c *call, a engine.Answer, from *caller) {
+	f.lead(w, from)
 	if c.rest != nil {
 		select {
 		case <-c.rest.ended:
--- a/internal/front/http1/platform.go
+++ b/internal/front/http1/platform.go
@@ -20,7 +20,7 @@
 	if hr.Method != http.MethodGet || hr.URL.Path != "/health/ready" || !bodiless(hr) {
 		return false
 	}
-	f.lead(w)
+	f.lead(w, nil)
 	if f.unready.Load() {
 		http.Error(w, "clients are sent away", http.StatusServiceUnavailable)
 	}
