Registers without a leader ask again within 0.25 s; a dial gives up after 0.4 s; classes tell what an answer takes

Cause: after all power was lost the first register to be up lost 0.8 s on dials to machines that were still dark, and waited 0.5 to 1 s between its questions. A class's mean began at a quarter of its aim, so that cold servers looked silent.

--- a/hollyspur.go
+++ b/hollyspur.go
@@ -42,6 +42,7 @@
 	Window    time.Duration // for Keyed: how long repeats are discarded, from the first send
 	Aim       time.Duration // answers within it earn full worth
 	Deadline  time.Duration // how long a client waits over all its tries
+	Typical   time.Duration // how long an answer takes, until it is known; 0: a quarter of the aim
 	LateShare float64       // share of the worth that an answer after the aim earns
 	Worth     float64
 	Stream    bool
--- a/internal/exchange/core/core.go
+++ b/internal/exchange/core/core.go
@@ -358,7 +358,11 @@
 // ---- Time ----
 
 func (c *Core) rest() {
-	c.deadline = c.now + c.cfg.Election + time.Duration(c.rng.Int64N(int64(c.cfg.Election)))
+	least := c.cfg.Election
+	if c.role == asking { // asking disturbs nobody, and who was not there may be by now
+		least /= 4
+	}
+	c.deadline = c.now + least + time.Duration(c.rng.Int64N(int64(least)))
 }
 
 // Tick lets time pass.
--- a/internal/exchange/line/pools.go
+++ b/internal/exchange/line/pools.go
@@ -92,7 +92,7 @@
 
 // classOf is what a route is to the module.
 func classOf(r *dialplan.Route) hollyspur.Class {
-	c := hollyspur.Class{Name: r.Name, Aim: r.Aim, Deadline: r.Timeout, LateShare: 1, Worth: 1 / float64(1+r.Priority)}
+	c := hollyspur.Class{Name: r.Name, Aim: r.Aim, Deadline: r.Timeout, LateShare: 1, Worth: 1 / float64(1+r.Priority), Typical: r.Aim / 2}
 	if r.Kind.Repeatable() {
 		c.Effect = hollyspur.Safe
 	}
--- a/internal/exchange/trunk/trunk.go
+++ b/internal/exchange/trunk/trunk.go
@@ -29,7 +29,7 @@
 	mostFrame   = 4 << 20 // bytes of one frame
 	mostQueued  = 8 << 20 // bytes that wait to be written; beyond that the other side does not read
 	writeWithin = 2 * time.Second
-	DialWithin  = 800 * time.Millisecond
+	DialWithin  = 400 * time.Millisecond
 	Every       = 300 * time.Millisecond // beats, where one side has something open
 	Silence     = 1200 * time.Millisecond
 	Calm        = 5 // times as long, both, where nothing is
--- a/state.go
+++ b/state.go
@@ -211,6 +211,9 @@
 
 func (b *Balancer) addClass(c Class) {
 	k := &class{Class: c, mean: float64(c.Aim) / 4, dev: float64(c.Aim) / 8}
+	if c.Typical > 0 {
+		k.mean, k.dev = float64(c.Typical), float64(c.Typical)/2
+	}
 	b.classes[c.Name] = k
 	b.order = append(b.order, k)
 }
