--- a/hollyspur.go
+++ b/hollyspur.go
@@ -43,6 +43,7 @@
 	Aim       time.Duration // answers within it earn full worth
 	Deadline  time.Duration // how long a client waits over all its tries
 	Typical   time.Duration // how long an answer takes, until it is known; 0: a quarter of the aim
+	First     bool          // what waits for it has been let in already: it is not held back for the sake of others
 	LateShare float64       // share of the worth that an answer after the aim earns
 	Worth     float64
 	Stream    bool
--- a/internal/exchange/line/pools.go
+++ b/internal/exchange/line/pools.go
@@ -90,7 +90,21 @@
 // get is a service's; nil: no route sends to it.
 func (p *pools) get(name string) *service { return (*p.byName.Load())[name] }
 
-// classOf is what a route is to the module.
+// classesOf are what the routes to a service are to its module. Those above the lowest rank are not held back
+// for its sake: work that was let in may wait for them, and would be lost.
+func classesOf(routes []*dialplan.Route) (l []hollyspur.Class) {
+	lowest := 0
+	for _, r := range routes {
+		lowest = max(lowest, r.Priority)
+	}
+	for _, r := range routes {
+		c := classOf(r)
+		c.First = r.Priority < lowest
+		l = append(l, c)
+	}
+	return l
+}
+
 func classOf(r *dialplan.Route) hollyspur.Class {
 	c := hollyspur.Class{Name: r.Name, Aim: r.Aim, Deadline: r.Timeout, LateShare: 1, Worth: 1 / float64(1+r.Priority), Typical: r.Aim / 2}
 	if r.Kind.Repeatable() {
@@ -117,8 +131,8 @@
 			continue
 		}
 		var news []hollyspur.Class
-		for _, r := range routes {
-			if c := classOf(r); s.classes[c.Name] != c {
+		for _, c := range classesOf(routes) {
+			if s.classes[c.Name] != c {
 				s.classes[c.Name] = c
 				news = append(news, c)
 			}
@@ -135,8 +149,7 @@
 	s := &service{name: name, classes: map[string]hollyspur.Class{}, source: &source{line: l, service: name, changed: make(chan struct{}, 1)}}
 	set := hollyspur.Settings{Balancers: max(1, l.dir.Load().Len()), MaxAttempts: maxAttempts, Tick: moduleTick, MaxRetryAfter: maxAdvice,
 		MayCancel: true, WholeWeight: 0.5, ClassWeight: 0.1, ColdFrom: coldFrom, WarmAfter: warmSpan}
-	for _, r := range routes {
-		c := classOf(r)
+	for _, c := range classesOf(routes) {
 		s.classes[c.Name] = c
 		set.Classes = append(set.Classes, c)
 	}
--- a/policy.go
+++ b/policy.go
@@ -45,6 +45,7 @@
 	tenantFade  = 0.005
 	maxTenants  = 256
 	quotaBurst  = 1.0 // seconds of a quota that may come at once
+	firstRoom   = 2.0 // times the window that those may fill which are not held back for others
 	crowding    = 2   // own calls, above the mean, at which a server is passed over
 	askSpread   = 40  // copies whose calls to discovery are spread over all of AskWithin; of fewer, over less
 	askLongest  = 4   // times AskWithin between calls that fail
@@ -180,7 +181,7 @@
 
 // place sends a request, or holds it while no server may take it.
 func (b *Balancer) place(r *request) {
-	if r.out == 0 && len(r.attempts) == 0 && b.full() {
+	if r.out == 0 && len(r.attempts) == 0 && b.full() && !(r.class.First && b.admitted() < firstRoom*b.limit()) {
 		b.hold(r)
 		return
 	}
