A line that ends serves beside its server until its callers have gone

Cause: at SIGTERM a line told the others to send nothing more, 2.3 s before its callers had left, so a roll of eight lines by one a second had up to six servers out at a time. It tells them when it stops taking requests; what comes after that is answered as never run. Ruled out: a shorter lead (clients look twice, a second apart).

--- a/internal/exchange/line/line.go
+++ b/internal/exchange/line/line.go
@@ -176,7 +176,6 @@
 	began := time.Now()
 	grace := l.set.Load().Bounds.GraceS.D()
 	l.stopping.Store(true)
-	l.own.leave()
 	f := l.front.Load()
 	if f != nil {
 		f.LeadAway(true)
@@ -192,7 +191,10 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	l.inbound.ending.Store(true) // the others have long been told
+	// The server beside it serves the others until now: of lines that end in turn few are out at a time.
+	l.own.leave()
+	<-lead.C
+	l.inbound.ending.Store(true)
 	if f != nil {
 		f.Shutdown(ctx)
 	}
