--- a/cmd/switchboard/main.go
+++ b/cmd/switchboard/main.go
@@ -100,6 +100,49 @@
 	return nil
 }
 
+type backup struct {
+	Args struct {
+		Control string `positional-arg-name:"ADDR" description:"ControlPlane of a register"`
+		File    string `positional-arg-name:"FILE" description:"is written anew; restore reads it"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute writes the configuration, confirmed by a majority, as a call that brings it back.
+func (b *backup) Execute([]string) error {
+	text, err := call(http.MethodGet, b.Args.Control, "/v1/configuration/fetch", nil)
+	if err != nil {
+		return err
+	}
+	text, err = json.MarshalIndent(map[string]json.RawMessage{"Upsert": text}, "", "  ")
+	if err != nil {
+		return err
+	}
+	items, err := patch.Read(text)
+	if err != nil {
+		return errors.Annotate(err, "what came back")
+	}
+	beside := b.Args.File + ".new" // a backup that breaks off leaves the one before
+	f, err := os.OpenFile(beside, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(append(text, '\n'))
+	if err == nil {
+		err = f.Sync()
+	}
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	if err == nil {
+		err = os.Rename(beside, b.Args.File)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d items in %s\n", len(items), b.Args.File)
+	return nil
+}
+
 func call(method, addr, path string, body []byte) ([]byte, error) {
 	r, err := http.NewRequest(method, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
@@ -137,6 +180,8 @@
 	add("draw", "draw the topology: registers, lines, servers", &draw{})
 	add("fetch", "print the configuration", &fetch{})
 	add("apply", "check a change of the configuration and have it agreed on", &apply{})
+	add("backup", "write the configuration to a file", &backup{})
+	add("restore", "bring the items of a backup back, where no newer versions stand", &apply{})
 	add("inspect", "tell what a register's disk holds, changing nothing", &inspect{})
 	add("tour", "start a small mesh on loopback, play traffic through it, tell what became of every request", &tour{})
 	if _, err := p.Parse(); err != nil {
--- a/internal/exchange/line/outbound.go
+++ b/internal/exchange/line/outbound.go
@@ -111,6 +111,17 @@
 	return out
 }
 
+// headBytes is about how long a request's head is.
+func headBytes(hr *http.Request) int {
+	n := len(hr.Method) + len(hr.RequestURI) + len(hr.Host)
+	for name, values := range hr.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + 4
+		}
+	}
+	return n
+}
+
 // Read implements front.Speech.
 func (l speech) Read(hr *http.Request, p *pool.Pool, class string, now time.Duration, c *engine.Call) (*message.Request, *front.Refusal) {
 	r := l.plan.Load().Named(class)
@@ -129,6 +140,8 @@
 		return nil, &front.Refusal{Status: http.StatusBadRequest, Text: "not one " + hAttempt}
 	case r.Kind == dialplan.Keyed && (len(h[hKey]) != 1 || o.key == "" || len(o.key) > longestKey):
 		return nil, &front.Refusal{Status: http.StatusBadRequest, Text: "not one " + hKey}
+	case limits.MaxHeaderBytes > 0 && headBytes(hr) > limits.MaxHeaderBytes:
+		return nil, &front.Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Text: "the head is too long", Keep: bodiless(hr)}
 	case limits.MaxBodyBytes > 0 && hr.ContentLength > limits.MaxBodyBytes:
 		return nil, &front.Refusal{Status: http.StatusRequestEntityTooLarge, Text: "the body is too long"}
 	case h.Get(hBudget) != "" && (err != nil || !(budget > 0) || budget > 1e9):
--- a/internal/front/http1/callers.go
+++ b/internal/front/http1/callers.go
@@ -29,6 +29,7 @@
 	count atomic.Int64               // connections that are open
 	heads bool                       // requests' heads are looked at as they come: HTTP/1.1
 	front *Front                     // that looks ahead; nil: none does
+	idle  atomic.Int64               // ns that a connection may be idle; 0: as the library has it
 }
 
 // caller is a caller's connection.
@@ -295,6 +296,19 @@
 		c.leave()
 		c.settle()
 		c.of.hasRoom()
+		if d := time.Duration(c.of.idle.Load()); d > 0 {
+			since := c.since
+			time.AfterFunc(d, func() { c.expire(since) })
+		}
+	}
+}
+
+// expire closes a connection that has been quiet since then, unless something of a request is here by now.
+func (c *caller) expire(since time.Time) {
+	c.of.mu.Lock()
+	defer c.of.mu.Unlock()
+	if c.place != nil && c.since.Equal(since) && c.began.Load() == 0 && (c.ahead == nil || c.ahead.open.Load() == 0) && peek.At(c.Conn) != nil {
+		c.close()
 	}
 }
 
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -143,8 +143,8 @@
 // Heads sets how many bytes a request's head may have, before Serve.
 func (f *Front) Heads(n int) { f.server.MaxHeaderBytes = n }
 
-// Idle sets how long callers' connections may be idle, before Serve.
-func (f *Front) Idle(d time.Duration) { f.server.IdleTimeout = d }
+// Idle sets how long callers' connections may be idle, also while it serves.
+func (f *Front) Idle(d time.Duration) { f.callers.idle.Store(int64(d)) }
 
 // Serve serves until Shutdown, and then returns http.ErrServerClosed.
 func (f *Front) Serve() error {
--- a/internal/rig/mesh/mesh.go
+++ b/internal/rig/mesh/mesh.go
@@ -33,6 +33,7 @@
 	of       *Mesh
 	program  string
 	set      map[string]any
+	listen   map[string]string // never changed once made
 	lives    int
 }
 
@@ -98,7 +99,8 @@
 	n := len(m.Registers)
 	x := &Machine{Name: fmt.Sprintf("core-%d", n+1), IP: fmt.Sprintf("%s.%d", m.net, 10+n), of: m, program: "register"}
 	x.set = m.settings(x.Name, x.IP, fmt.Sprintf("zone-%d", n%3))
-	x.set["ListenAddrs"] = map[string]any{"ControlPlane": fmt.Sprintf("%s:%d", x.IP, m.ports[0])}
+	x.listen = map[string]string{"ControlPlane": fmt.Sprintf("%s:%d", x.IP, m.ports[0])}
+	x.set["ListenAddrs"] = x.listen
 	x.set["DataDir"] = filepath.Join(m.Dir, x.Name)
 	x.set["FirstStart"] = first
 	m.Registers = append(m.Registers, x)
@@ -112,7 +114,8 @@
 	zone := fmt.Sprintf("zone-%d", n%3)
 	at := func(i int) string { return fmt.Sprintf("%s:%d", x.IP, m.ports[i]) }
 	x.set = m.settings(x.Name, x.IP, zone)
-	x.set["ListenAddrs"] = map[string]any{"ControlPlane": at(0), "Inbound": at(2), "Outbound": at(3), "Readiness": at(4)}
+	x.listen = map[string]string{"ControlPlane": at(0), "Inbound": at(2), "Outbound": at(3), "Readiness": at(4)}
+	x.set["ListenAddrs"] = x.listen
 	x.set["AppAddress"], x.set["Service"] = at(5), service
 	m.Lines = append(m.Lines, x)
 	if err := x.Start(); err != nil {
@@ -124,8 +127,7 @@
 // StartApp starts a server beside a line, as a new instance.
 func (x *Machine) StartApp() (err error) {
 	x.lives++
-	at := x.set["ListenAddrs"].(map[string]any)
-	x.App, err = newApp(x.set["Service"].(string), fmt.Sprintf("i-%s-%d", x.Name, x.lives), x.set["AppAddress"].(string), at["ControlPlane"].(string), x.set["Zone"].(string), x.of.Record)
+	x.App, err = newApp(x.set["Service"].(string), fmt.Sprintf("i-%s-%d", x.Name, x.lives), x.set["AppAddress"].(string), x.listen["ControlPlane"], x.set["Zone"].(string), x.of.Record)
 	return err
 }
 
@@ -161,10 +163,7 @@
 func (x *Machine) Data() string { return x.set["DataDir"].(string) }
 
 // At is one of the machine's addresses, by its name in the settings.
-func (x *Machine) At(name string) string {
-	a, _ := x.set["ListenAddrs"].(map[string]any)[name].(string)
-	return a
-}
+func (x *Machine) At(name string) string { return x.listen[name] }
 
 // Close ends all processes.
 func (m *Mesh) Close() {
