--- a/internal/exchange/line/home.go
+++ b/internal/exchange/line/home.go
@@ -19,6 +19,7 @@
 // Times of the home register.
 const (
 	homeRest   = 100 * time.Millisecond // between tries to find one
+	seekFor    = 400 * time.Millisecond // keyed requests wait for another home
 	askAgain   = 150 * time.Millisecond
 	askWithin  = time.Second
 	outOfTouch = 250 * time.Millisecond // that a home may be without a leader
@@ -31,6 +32,8 @@
 	line  *Line
 	c     atomic.Pointer[trunk.Conn]
 	touch atomic.Bool
+	// seeking is until when, in Unix ns, another home counts as good as found
+	seeking atomic.Int64
 
 	mu       sync.Mutex // guards below
 	known    []string   // trunks of the registers
@@ -43,7 +46,10 @@
 	return &home{line: l, known: l.set.Load().Seeds(), wake: make(chan struct{}, 1)}
 }
 
-func (h *home) inTouch() bool { return h.touch.Load() }
+// inTouch says that the registers can be asked: the home hears of a majority, or was lost a moment ago and another is sought.
+func (h *home) inTouch() bool {
+	return h.touch.Load() || time.Now().UnixNano() < h.seeking.Load()
+}
 
 func (h *home) close() {
 	if c := h.c.Load(); c != nil {
@@ -150,7 +156,9 @@
 	h.c.Store(c)
 	l.log.Info().Str("register", c.Remote()).Msg("home")
 	defer func() {
-		h.touch.Store(false)
+		if h.touch.Swap(false) {
+			h.seeking.Store(time.Now().Add(seekFor).UnixNano())
+		}
 		c.Close(nil)
 		l.log.Info().Str("register", c.Remote()).AnErr("why", c.Err()).Msg("home left")
 	}()
