--- a/internal/exchange/line/inbound.go
+++ b/internal/exchange/line/inbound.go
@@ -23,7 +23,6 @@
 	serverIdle    = 8 * time.Second // after which servers are taken to close idle connections
 	connectWithin = 1500 * time.Millisecond
 	claimWithin   = 400 * time.Millisecond
-	mostAnswer    = 64 << 10
 )
 
 // inbound runs requests of other lines at this line's server.
@@ -34,8 +33,6 @@
 	open   atomic.Int64
 	ending atomic.Bool // nothing new is taken
 
-	mu    sync.Mutex // guards conns
-	conns map[*trunk.Conn]*caller
 }
 
 // caller is a trunk from another line.
@@ -58,7 +55,7 @@
 }
 
 func newInbound(l *Line, s *sender.Sender) *inbound {
-	return &inbound{line: l, sender: s, keep: newKeep(), conns: map[*trunk.Conn]*caller{}}
+	return &inbound{line: l, sender: s, keep: newKeep()}
 }
 
 // accept takes trunks.
@@ -201,8 +198,6 @@
 		Finished: func() bool { return ctx.Err() != nil },
 		Began: func(x engine.Reply) {
 			stream = x.(*message.Stream)
-			stop := context.AfterFunc(ctx, func() {})
-			stop()
 			go func() {
 				defer close(passed)
 				r.pass(ctx, stream)
@@ -293,7 +288,7 @@
 			r.of.c.Send(last)
 			return
 		}
-		if !r.credit.take(r.of.ctx(), len(p)) {
+		if !r.credit.take(context.Background(), len(p)) { // a caller's end closes the credit
 			r.cancel(engine.ErrWithdrawn)
 			return
 		}
@@ -301,9 +296,6 @@
 	}
 }
 
-// ctx ends never: a caller's end closes the credit.
-func (of *caller) ctx() context.Context { return context.Background() }
-
 // serverSpeech is the mesh's words towards its server. It implements sender.Speech.
 type serverSpeech struct{}
 
--- a/internal/exchange/line/own.go
+++ b/internal/exchange/line/own.go
@@ -41,9 +41,6 @@
 	WarmupLeftS patch.Seconds `json:"WarmupLeftS"`
 }
 
-// Beaten is the answer to a beat.
-type Beaten struct{}
-
 // own is the server beside this line, as its beats tell of it, and the record that the others hear.
 type own struct {
 	line    *Line
--- a/internal/exchange/trunk/trunk.go
+++ b/internal/exchange/trunk/trunk.go
@@ -142,7 +142,6 @@
 	nc    net.Conn
 	r     *bufio.Reader
 	Peer  *wire.HelloT // what the dialler told; on the dialling side what it told itself
-	Since time.Time
 	beat  func() []byte
 	// always: beats go out whatever else was said
 	always bool
@@ -159,7 +158,7 @@
 }
 
 func newConn(nc net.Conn, beat func() *wire.BeatT) *Conn {
-	c := &Conn{nc: nc, r: bufio.NewReaderSize(nc, 16<<10), Since: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{})}
+	c := &Conn{nc: nc, r: bufio.NewReaderSize(nc, 16<<10), wake: make(chan struct{}, 1), done: make(chan struct{})}
 	c.beat = func() []byte { return Encode(&wire.BeatT{}) }
 	if beat != nil { // it says more than that the sender is there, so other words don't stand for it
 		c.beat, c.always = func() []byte { return Encode(beat()) }, true
