--- a/internal/exchange/trunk/trunk.go
+++ b/internal/exchange/trunk/trunk.go
@@ -139,10 +139,10 @@
 
 // Conn is one connection. Send may be called from any goroutine; Receive from one.
 type Conn struct {
-	nc    net.Conn
-	r     *bufio.Reader
-	Peer  *wire.HelloT // what the dialler told; on the dialling side what it told itself
-	beat  func() []byte
+	nc   net.Conn
+	r    *bufio.Reader
+	Peer *wire.HelloT // what the dialler told; on the dialling side what it told itself
+	beat func() []byte
 	// always: beats go out whatever else was said
 	always bool
 	open   atomic.Int64 // what this side waits for on it, or works on
