--- a/internal/exchange/line/own.go
+++ b/internal/exchange/line/own.go
@@ -174,8 +174,8 @@
 func (o *own) handlers() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/endpoints/{id}/heartbeat", control.Handle(16<<10, time.Second,
-		func(_ context.Context, r *http.Request, b Beat) (Beaten, error) {
-			return Beaten{}, o.beat(r.PathValue("id"), b)
+		func(_ context.Context, r *http.Request, b Beat) (control.None, error) {
+			return control.None{}, o.beat(r.PathValue("id"), b)
 		}))
 	mux.HandleFunc("POST /v1/endpoints/{id}/deregister", control.Handle(16<<10, time.Second,
 		func(_ context.Context, r *http.Request, _ control.None) (control.None, error) {
