--- a/policy.go
+++ b/policy.go
@@ -1,5 +1,5 @@
-// Every decision of hollyspur: here what an event leads to, in list.go what discovery tells, in choice.go which server,
-// in health.go how servers are judged, in admission.go what is let in, tried again and given up.
+// Every decision of hollyspur: here what an event leads to, in list.go what discovery tells, in choice.go
+// which server, in health.go how servers are judged, in admission.go what is let in, tried again, given up.
 
 package hollyspur
 
@@ -181,7 +181,8 @@
 
 // place sends a request, or holds it while no server may take it.
 func (b *Balancer) place(r *request) {
-	if r.out == 0 && len(r.attempts) == 0 && b.full() && !(r.class.First && b.admitted() < firstRoom*b.limit()) {
+	ahead := r.class.First && b.admitted() < firstRoom*b.limit()
+	if r.out == 0 && len(r.attempts) == 0 && b.full() && !ahead {
 		b.hold(r)
 		return
 	}
