--- a/internal/exchange/line/home.go
+++ b/internal/exchange/line/home.go
@@ -154,6 +154,7 @@
 func (h *home) follow(c *trunk.Conn, first trunk.Message) {
 	l := h.line
 	h.c.Store(c)
+	c.Open(1) // its silence is to be found out soon
 	l.log.Info().Str("register", c.Remote()).Msg("home")
 	defer func() {
 		if h.touch.Swap(false) {
--- a/internal/exchange/trunk/trunk.go
+++ b/internal/exchange/trunk/trunk.go
@@ -220,6 +220,9 @@
 	c.open.Add(n)
 }
 
+// Waits is how much of Open is left.
+func (c *Conn) Waits() int64 { return c.open.Load() }
+
 // Send queues a message. It does not wait; where the other side does not read, the connection ends.
 func (c *Conn) Send(v any) error { return c.SendFrame(Encode(v)) }
 
