Checkers over a run's history, and histories as JSON lines

Cause: five promises of the control plane were judged by the code that keeps them only. Ruled out: judging the acknowledgement of an overtaken version as proof of its content, since lower versions change nothing by protocol.

--- a/internal/mesh/history/history.go
+++ b/internal/mesh/history/history.go
@@ -5,7 +5,10 @@
 // the observer; the name stays the same over restarts. A History belongs to one goroutine.
 package history
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Outcome is how a call ended for its caller.
 type Outcome string
@@ -20,16 +23,16 @@
 // Call is an operation with a duration. Return is the latest time that is known of the call, also where its outcome is
 // Unknown; such a call may still take effect at any later time.
 type Call struct {
-	Process string        `json:"process"` // the caller
-	Begin   time.Duration `json:"begin_ns"`
-	Return  time.Duration `json:"return_ns"`
-	Outcome Outcome       `json:"outcome"`
+	Process string        `json:"process" validate:"required"` // the caller
+	Begin   time.Duration `json:"begin_ns" validate:"gte=0"`
+	Return  time.Duration `json:"return_ns" validate:"gtefield=Begin"`
+	Outcome Outcome       `json:"outcome" validate:"oneof=acknowledged refused unknown"`
 }
 
 // Item names a configuration item.
 type Item struct {
-	Kind string `json:"kind"`
-	Name string `json:"name"`
+	Kind string `json:"kind" validate:"required"`
+	Name string `json:"name" validate:"required"`
 }
 
 // String is kind/name.
@@ -38,17 +41,25 @@
 // ItemVersion is one content of an item. Two of one item and version are the same if Digest and Dropped agree.
 type ItemVersion struct {
 	Item
-	Version int64  `json:"version"`
+	Version int64  `json:"version" validate:"gte=0"`
 	Digest  string `json:"digest,omitempty"` // of the content; empty if it was dropped
 	Dropped bool   `json:"dropped,omitempty"`
 }
 
+// String is kind/name@version and the digest, or that it was dropped.
+func (v ItemVersion) String() string {
+	if v.Dropped {
+		return fmt.Sprintf("%v@%d dropped", v.Item, v.Version)
+	}
+	return fmt.Sprintf("%v@%d %s", v.Item, v.Version, v.Digest)
+}
+
 // Change is one try of an operator's order at one member. All its items take effect, or none.
 type Change struct {
 	Call
 	Order   string        `json:"order,omitempty"` // joins the tries of one order; empty: this call is its only one
 	Member  string        `json:"member,omitempty"`
-	Items   []ItemVersion `json:"items"`
+	Items   []ItemVersion `json:"items" validate:"dive"`
 	Invalid bool          `json:"invalid,omitempty"` // the caller expects a refusal
 }
 
@@ -56,7 +67,7 @@
 type Fetch struct {
 	Call
 	Member string        `json:"member"` // that answered
-	Items  []ItemVersion `json:"items"`
+	Items  []ItemVersion `json:"items" validate:"dive"`
 }
 
 // FirstTable is the configuration that a member hands to a sidecar that starts or changes its member. Process is the
@@ -65,13 +76,13 @@
 	Call
 	Member string        `json:"member"`
 	Life   uint64        `json:"life"` // of the sidecar
-	Items  []ItemVersion `json:"items"`
+	Items  []ItemVersion `json:"items" validate:"dive"`
 }
 
 // InForce says that an item version was in force at a sidecar or at a member.
 type InForce struct {
-	At      time.Duration `json:"at_ns"`
-	Process string        `json:"process"`
+	At      time.Duration `json:"at_ns" validate:"gte=0"`
+	Process string        `json:"process" validate:"required"`
 	Life    uint64        `json:"life"` // rises with each start of a sidecar and each new disk of a member
 	InTouch bool          `json:"in_touch"`
 	ItemVersion
@@ -80,33 +91,33 @@
 // Claim is a sidecar's claim on a key. Acknowledged means granted to Process, Refused that another holds it.
 type Claim struct {
 	Call
-	Key    string        `json:"key"`
-	Window time.Duration `json:"window_ns"`
+	Key    string        `json:"key" validate:"required"`
+	Window time.Duration `json:"window_ns" validate:"gte=0"`
 	Holder string        `json:"holder,omitempty"` // as the answer names it
 }
 
 // Run is the beginning of a keyed request at a server.
 type Run struct {
-	At      time.Duration `json:"at_ns"`
-	Server  string        `json:"server"`
-	Key     string        `json:"key"`
-	Window  time.Duration `json:"window_ns"` // in which Key runs once
-	Request string        `json:"request"`
+	At      time.Duration `json:"at_ns" validate:"gte=0"`
+	Server  string        `json:"server" validate:"required"`
+	Key     string        `json:"key" validate:"required"`
+	Window  time.Duration `json:"window_ns" validate:"gte=0"` // in which Key runs once
+	Request string        `json:"request" validate:"required"`
 }
 
 // Answer is one answer that reached a caller. Request is the request that the caller took it for, Answers the one that the
 // answer's own bytes say it is for.
 type Answer struct {
-	At      time.Duration `json:"at_ns"`
-	Process string        `json:"process"`
-	Request string        `json:"request"`
+	At      time.Duration `json:"at_ns" validate:"gte=0"`
+	Process string        `json:"process" validate:"required"`
+	Request string        `json:"request" validate:"required"`
 	Answers string        `json:"answers"`
 }
 
 // Leader says that a member began to lead in a term.
 type Leader struct {
-	At        time.Duration `json:"at_ns"`
-	Process   string        `json:"process"`
+	At        time.Duration `json:"at_ns" validate:"gte=0"`
+	Process   string        `json:"process" validate:"required"`
 	ID        uint64        `json:"id"` // of the member, from its disk
 	Term      uint64        `json:"term"`
 	LastIndex uint64        `json:"last_index,omitempty"` // of its log when it was elected; 0: not known
@@ -114,10 +125,10 @@
 
 // Members says who the members are from an index of the log on. While Outgoing is set, majorities of both are needed.
 type Members struct {
-	At       time.Duration `json:"at_ns"`
-	Process  string        `json:"process"` // that reported it
+	At       time.Duration `json:"at_ns" validate:"gte=0"`
+	Process  string        `json:"process" validate:"required"` // that reported it
 	Index    uint64        `json:"index"`
-	Voters   []uint64      `json:"voters"`
+	Voters   []uint64      `json:"voters" validate:"min=1"`
 	Outgoing []uint64      `json:"outgoing,omitempty"` // the voters before, of a joint configuration
 	Learners []uint64      `json:"learners,omitempty"`
 }
@@ -140,41 +151,41 @@
 
 // Fault is a fault of one process.
 type Fault struct {
-	At      time.Duration `json:"at_ns"`
-	Process string        `json:"process"`
-	Kind    FaultKind     `json:"kind"`
+	At      time.Duration `json:"at_ns" validate:"gte=0"`
+	Process string        `json:"process" validate:"required"`
+	Kind    FaultKind     `json:"kind" validate:"oneof=kill power_loss wipe restart freeze thaw cut heal remove"`
 	Peers   []string      `json:"peers,omitempty"` // of a Cut or Heal; none: all
 }
 
 // Contact says whether a member can, from At on, exchange messages with a majority, as the observer of the links knows it.
 type Contact struct {
-	At       time.Duration `json:"at_ns"`
-	Process  string        `json:"process"`
+	At       time.Duration `json:"at_ns" validate:"gte=0"`
+	Process  string        `json:"process" validate:"required"`
 	Majority bool          `json:"majority"`
 }
 
 // Synced says which disks held an index, synced, when it was acknowledged. Tolerance disks of Counted may be lost at once
 // at that moment with nothing lost.
 type Synced struct {
-	At        time.Duration `json:"at_ns"`
+	At        time.Duration `json:"at_ns" validate:"gte=0"`
 	Index     uint64        `json:"index"`
 	Order     string        `json:"order,omitempty"`
-	Tolerance int           `json:"tolerance"`
+	Tolerance int           `json:"tolerance" validate:"gte=0"`
 	Counted   []uint64      `json:"counted"` // members that count at that moment
 	Disks     []uint64      `json:"disks"`   // that hold the index
 }
 
 // CatchUp is the beginning or, with Ended, the end of a member's catching up with the log.
 type CatchUp struct {
-	At      time.Duration `json:"at_ns"`
-	Process string        `json:"process"`
+	At      time.Duration `json:"at_ns" validate:"gte=0"`
+	Process string        `json:"process" validate:"required"`
 	Ended   bool          `json:"ended,omitempty"`
 }
 
 // Settled is a stretch in which the control plane was settled: a majority in touch and no fault of late.
 type Settled struct {
-	From time.Duration `json:"from_ns"`
-	To   time.Duration `json:"to_ns"`
+	From time.Duration `json:"from_ns" validate:"gte=0"`
+	To   time.Duration `json:"to_ns" validate:"gtefield=From"`
 }
 
 // History is what was seen of one run, each kind in the order in which it was recorded.
--- /dev/null
+++ b/internal/mesh/history/linearizable.go
@@ -0,0 +1,154 @@
+package history
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// registerInput is an operation on one item: a write of a content, or a read.
+type registerInput struct {
+	write   bool
+	content ItemVersion // of a write
+}
+
+// registerOutput is what the caller was told.
+type registerOutput struct {
+	unknown bool
+	told    bool        // a read's answer names the item
+	content ItemVersion // of a read that names it
+}
+
+// Linearizable checks, item by item, that each history of changes and fetches has an order in which the highest version
+// holds and every fetch shows what stands. Calls with an unknown outcome may take effect at any time from their beginning
+// on, or never. A call's items taking effect together is checked on the fetches. An item whose search takes longer than
+// bound is undecided.
+func Linearizable(h *History, bound time.Duration) (broken []Violation, undecided []Item) {
+	if bound == 0 {
+		bound = DefaultSearch
+	}
+	for _, item := range items(h) {
+		operations, last := itemOperations(h, item)
+		switch porcupine.CheckOperationsTimeout(itemRegister, operations, bound) {
+		case porcupine.Illegal:
+			broken = append(broken, Violation{CheckLinearizable, last,
+				fmt.Sprintf("%v: no order of its %d calls explains what was told", item, len(operations))})
+		case porcupine.Unknown:
+			undecided = append(undecided, item)
+		}
+	}
+	return append(broken, halfChanges(h)...), undecided
+}
+
+// itemRegister is one item as a register in which the highest version holds.
+var itemRegister = porcupine.Model{
+	Init: func() any { return ItemVersion{} },
+	Step: func(state, input, output any) (bool, any) {
+		stands, in, out := state.(ItemVersion), input.(registerInput), output.(registerOutput)
+		if !in.write {
+			return shows(out, stands), stands
+		}
+		switch {
+		case in.content.Version > stands.Version:
+			return true, in.content
+		case in.content.Version == stands.Version:
+			return out.unknown || in.content == stands, stands
+		}
+		return true, stands
+	},
+}
+
+// shows says that a read's answer fits what stands. An item that was dropped may be left out.
+func shows(read registerOutput, stands ItemVersion) bool {
+	if read.told {
+		return read.content == stands
+	}
+	return stands.Version == 0 || stands.Dropped
+}
+
+// items are all that were changed or fetched, in a fixed order.
+func items(h *History) []Item {
+	var all []Item
+	for _, c := range h.Changes {
+		for _, v := range c.Items {
+			all = append(all, v.Item)
+		}
+	}
+	for _, f := range h.Fetches {
+		for _, v := range f.Items {
+			all = append(all, v.Item)
+		}
+	}
+	slices.SortFunc(all, func(a, b Item) int { return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name)) })
+	return slices.Compact(all)
+}
+
+// itemOperations are the calls that bear on one item, and the return of the last one.
+func itemOperations(h *History, item Item) (operations []porcupine.Operation, last time.Duration) {
+	for _, c := range h.Changes {
+		content, names := find(c.Items, item)
+		if !names || c.Outcome == Refused {
+			continue
+		}
+		returned := int64(c.Return)
+		if c.Outcome == Unknown {
+			returned = math.MaxInt64
+		}
+		last = max(last, c.Return)
+		operations = append(operations, porcupine.Operation{Input: registerInput{true, content}, Call: int64(c.Begin),
+			Output: registerOutput{unknown: c.Outcome == Unknown}, Return: returned})
+	}
+	for _, f := range h.Fetches {
+		if f.Outcome != Acknowledged {
+			continue
+		}
+		content, told := find(f.Items, item)
+		last = max(last, f.Return)
+		operations = append(operations, porcupine.Operation{Input: registerInput{}, Call: int64(f.Begin),
+			Output: registerOutput{told: told, content: content}, Return: int64(f.Return)})
+	}
+	return operations, last
+}
+
+func find(versions []ItemVersion, item Item) (ItemVersion, bool) {
+	for _, v := range versions {
+		if v.Item == item {
+			return v, true
+		}
+	}
+	return ItemVersion{}, false
+}
+
+// halfChanges finds fetches that show one item of a call and of another an older version than that call's. Contents that
+// several different calls carry prove nothing and are left out.
+func halfChanges(h *History) (broken []Violation) {
+	carriers := map[ItemVersion][]ItemVersion{}
+	for _, c := range h.Changes {
+		for _, v := range c.Items {
+			if others, known := carriers[v]; known && !slices.Equal(others, c.Items) {
+				carriers[v] = nil
+				continue
+			}
+			carriers[v] = c.Items
+		}
+	}
+	for _, f := range h.Fetches {
+		if f.Outcome != Acknowledged {
+			continue
+		}
+		for _, shown := range f.Items {
+			for _, other := range carriers[shown] {
+				if got, told := find(f.Items, other.Item); got.Version < other.Version && (told || !mayBeDropped(h, other, f.Return)) {
+					broken = append(broken, Violation{CheckLinearizable, f.Return, fmt.Sprintf(
+						"%s was shown half of a call by %s: %v at version %d, but %v at %d in place of %d",
+						f.Process, f.Member, shown.Item, shown.Version, other.Item, got.Version, other.Version)})
+				}
+			}
+		}
+	}
+	return broken
+}
--- /dev/null
+++ b/internal/mesh/history/progress.go
@@ -0,0 +1,118 @@
+package history
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// CatchesUp checks that each catching up ends within the bound (zero: not judged). One that a fault of its member
+// interrupts, or that the run's end cuts short, is not judged.
+func CatchesUp(h *History, bound time.Duration) (broken []Violation) {
+	if bound == 0 {
+		return nil
+	}
+	begun := map[string]time.Duration{}
+	over := func(process string, at time.Duration) {
+		if since, open := begun[process]; open && at-since > bound {
+			broken = append(broken, Violation{CheckCatchUp, at,
+				fmt.Sprintf("%s began to catch up at %v and had not after %v, where %v is the bound", process, since, at-since, bound)})
+		}
+		delete(begun, process)
+	}
+	for _, s := range progressSteps(h) {
+		switch {
+		case s.fault, s.ended:
+			over(s.process, s.at)
+		default:
+			if _, open := begun[s.process]; !open {
+				begun[s.process] = s.at
+			}
+		}
+	}
+	for _, process := range sortedNames(begun) {
+		over(process, h.End)
+	}
+	return broken
+}
+
+// progressStep is an event that begins, ends or interrupts a catching up.
+type progressStep struct {
+	at           time.Duration
+	process      string
+	fault, ended bool
+}
+
+func progressSteps(h *History) []progressStep {
+	var steps []progressStep
+	for _, f := range h.Faults {
+		if f.Kind != Restart && f.Kind != Heal && f.Kind != Thaw {
+			steps = append(steps, progressStep{at: f.At, process: f.Process, fault: true})
+		}
+	}
+	for _, c := range h.CatchUps {
+		steps = append(steps, progressStep{at: c.At, process: c.Process, ended: c.Ended})
+	}
+	return inOrder(steps, func(s progressStep) time.Duration { return s.at })
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Live checks that each proper order that begins in a settled stretch, with the bound still inside the stretch, is
+// acknowledged at one of its tries within the bound (zero: not judged).
+func Live(h *History, bound time.Duration) (broken []Violation) {
+	if bound == 0 {
+		return nil
+	}
+	for _, o := range orders(h) {
+		begin := o[0].Begin
+		settled := slices.ContainsFunc(h.Settled, func(s Settled) bool { return s.From <= begin && begin+bound <= s.To })
+		if !settled || !slices.ContainsFunc(o, func(c Change) bool { return proper(h, c) }) {
+			continue
+		}
+		acknowledged := slices.ContainsFunc(o, func(c Change) bool { return c.Outcome == Acknowledged && c.Return <= begin+bound })
+		if !acknowledged {
+			broken = append(broken, Violation{CheckLiveness, begin + bound, fmt.Sprintf(
+				"%s's order of %v, sent %d times from %v on, has no acknowledgement after %v of settled time",
+				o[0].Process, o[0].Items, len(o), begin, bound)})
+		}
+	}
+	return broken
+}
+
+// orders are the changes joined by their order, each in order of its tries' beginnings, in order of the first ones.
+func orders(h *History) (joined [][]Change) {
+	place := map[string]int{}
+	for _, c := range inOrder(h.Changes, func(c Change) time.Duration { return c.Begin }) {
+		n, known := place[c.Order]
+		if !known || c.Order == "" {
+			n = len(joined)
+			place[c.Order] = n
+			joined = append(joined, nil)
+		}
+		joined[n] = append(joined[n], c)
+	}
+	return joined
+}
+
+// proper says that a change is valid and no other one carries another content of a version of its.
+func proper(h *History, c Change) bool {
+	if c.Invalid {
+		return false
+	}
+	for _, o := range h.Changes {
+		for _, v := range c.Items {
+			if other, names := find(o.Items, v.Item); names && other.Version == v.Version && other != v {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/mesh/history/versions.go
@@ -0,0 +1,259 @@
+package history
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// content is what Digest and Dropped of an ItemVersion say.
+type content struct {
+	digest  string
+	dropped bool
+}
+
+// numbered is a version of an item, whatever its content.
+type numbered struct {
+	Item
+	version int64
+}
+
+func split(v ItemVersion) (numbered, content) {
+	return numbered{v.Item, v.Version}, content{v.Digest, v.Dropped}
+}
+
+// OneContent checks that no version of an item was acknowledged, fetched, handed out or in force with two contents. An
+// acknowledgement of a version that a higher one may have overtaken by then says nothing of its content: it changed nothing.
+func OneContent(h *History) (broken []Violation) {
+	first := map[numbered]content{}
+	see := func(at time.Duration, where string, versions ...ItemVersion) {
+		for _, v := range versions {
+			number, is := split(v)
+			was, known := first[number]
+			if !known {
+				first[number] = is
+				continue
+			}
+			if was != is {
+				broken = append(broken, Violation{CheckOneContent, at,
+					fmt.Sprintf("%v version %d has %+v at %s, but %+v before", v.Item, v.Version, is, where, was)})
+			}
+		}
+	}
+	for _, c := range h.Changes {
+		for _, v := range c.Items {
+			if c.Outcome == Acknowledged && !overtaken(h, v, c.Return) {
+				see(c.Return, c.Process+"'s order", v)
+			}
+		}
+	}
+	for _, f := range h.Fetches {
+		if f.Outcome == Acknowledged {
+			see(f.Return, "a fetch from "+f.Member, f.Items...)
+		}
+	}
+	for _, t := range h.Tables {
+		if t.Outcome == Acknowledged {
+			see(t.Return, "a table of "+t.Member, t.Items...)
+		}
+	}
+	for _, f := range h.InForce {
+		see(f.At, f.Process, f.ItemVersion)
+	}
+	return broken
+}
+
+// mayBeDropped says that a version drops its item, or a higher one that may have stood before a time does.
+func mayBeDropped(h *History, v ItemVersion, before time.Duration) bool {
+	return v.Dropped || slices.ContainsFunc(h.Changes, func(c Change) bool {
+		other, names := find(c.Items, v.Item)
+		return names && other.Dropped && other.Version > v.Version && c.Outcome != Refused && c.Begin <= before
+	})
+}
+
+// overtaken says that a higher version of an item may have stood before a time.
+func overtaken(h *History, v ItemVersion, before time.Duration) bool {
+	return slices.ContainsFunc(h.Changes, func(c Change) bool {
+		other, names := find(c.Items, v.Item)
+		return names && other.Version > v.Version && c.Outcome != Refused && c.Begin <= before
+	})
+}
+
+// RepeatedOrders checks that an order that was acknowledged, or whose content was seen after its answer was lost, is not
+// refused when it is sent again: either with no other change in between, or with all its items older than what stands.
+func RepeatedOrders(h *History) (broken []Violation) {
+	for n, again := range h.Changes {
+		if again.Outcome != Refused {
+			continue
+		}
+		for i, first := range h.Changes {
+			if i == n || !taken(h, first, again.Begin) || !slices.Equal(first.Items, again.Items) {
+				continue
+			}
+			if alone(h, first, again) || superseded(h, again) {
+				broken = append(broken, Violation{CheckRepeatedOrder, again.Return, fmt.Sprintf(
+					"%s's order of %v was taken at %v and refused by %s when it was sent again at %v",
+					again.Process, again.Items, first.Begin, again.Member, again.Begin)})
+				break
+			}
+		}
+	}
+	return broken
+}
+
+// taken says that a change had taken effect before a time: it was acknowledged, or a fetch showed a content that no other
+// order carries.
+func taken(h *History, c Change, before time.Duration) bool {
+	if c.Outcome == Acknowledged {
+		return c.Return <= before
+	}
+	if c.Outcome == Refused || len(c.Items) == 0 || c.Begin > before {
+		return false
+	}
+	for _, f := range h.Fetches {
+		if f.Outcome == Acknowledged && f.Return <= before && slices.Contains(f.Items, c.Items[0]) {
+			return !slices.ContainsFunc(h.Changes, func(o Change) bool {
+				return slices.Contains(o.Items, c.Items[0]) && !slices.Equal(o.Items, c.Items)
+			})
+		}
+	}
+	return false
+}
+
+// alone says that no other change was under way from the first call to the end of the second.
+func alone(h *History, first, again Change) bool {
+	return !slices.ContainsFunc(h.Changes, func(o Change) bool {
+		over := o.Outcome != Unknown && o.Return < first.Begin
+		return o.Outcome != Refused && !slices.Equal(o.Items, again.Items) && o.Begin <= again.Return && !over
+	})
+}
+
+// superseded says that for each item of a change a higher version had been acknowledged before its call.
+func superseded(h *History, c Change) bool {
+	stands := acknowledgedBefore(h, c.Begin)
+	for _, v := range c.Items {
+		if stands[v.Item] <= v.Version {
+			return false
+		}
+	}
+	return len(c.Items) > 0
+}
+
+// acknowledgedBefore is each item's highest version that was acknowledged before a time.
+func acknowledgedBefore(h *History, at time.Duration) map[Item]int64 {
+	highest := map[Item]int64{}
+	for _, c := range h.Changes {
+		if c.Outcome != Acknowledged || c.Return >= at {
+			continue
+		}
+		for _, v := range c.Items {
+			highest[v.Item] = max(highest[v.Item], v.Version)
+		}
+	}
+	return highest
+}
+
+// NeverBack checks that the versions in force at one life of a process only rise while it is in touch.
+func NeverBack(h *History) (broken []Violation) {
+	type place struct {
+		process string
+		life    uint64
+		item    Item
+	}
+	highest := map[place]int64{}
+	for _, f := range inOrder(h.InForce, func(f InForce) time.Duration { return f.At }) {
+		at := place{f.Process, f.Life, f.Item}
+		if f.InTouch && f.Version < highest[at] {
+			broken = append(broken, Violation{CheckNeverBack, f.At, fmt.Sprintf(
+				"%s (life %d) went from version %d of %v back to %d", f.Process, f.Life, highest[at], f.Item, f.Version)})
+		}
+		highest[at] = max(highest[at], f.Version)
+	}
+	return broken
+}
+
+// Stale checks that no fetch and no first table is older than what was acknowledged before it was asked for, and that no
+// member hands one out longer than leftBehind after its last contact with a majority (zero: not judged).
+func Stale(h *History, leftBehind time.Duration) (broken []Violation) {
+	standing, contacts := standingVersions(h), inOrder(h.Contacts, func(c Contact) time.Duration { return c.At })
+	read := func(what string, c Call, member string, versions []ItemVersion) {
+		if c.Outcome != Acknowledged {
+			return
+		}
+		broken = append(broken, standing.older(h, what, c, member, versions)...)
+		if lost, cut := withoutMajority(contacts, member, c.Return); cut && leftBehind > 0 && c.Return-lost > leftBehind {
+			broken = append(broken, Violation{CheckStale, c.Return, fmt.Sprintf(
+				"%s handed out %s %v after its last contact with a majority", member, what, c.Return-lost)})
+		}
+	}
+	for _, f := range h.Fetches {
+		read("a fetch", f.Call, f.Member, f.Items)
+	}
+	for _, t := range h.Tables {
+		read("a first table", t.Call, t.Member, t.Items)
+	}
+	return broken
+}
+
+// standing is the acknowledged changes of each item.
+type standing struct {
+	items   []Item // in a fixed order
+	changes map[Item][]acknowledgement
+}
+
+type acknowledgement struct {
+	at time.Duration
+	ItemVersion
+}
+
+func standingVersions(h *History) standing {
+	s := standing{changes: map[Item][]acknowledgement{}}
+	for _, c := range h.Changes {
+		if c.Outcome != Acknowledged {
+			continue
+		}
+		for _, v := range c.Items {
+			s.changes[v.Item] = append(s.changes[v.Item], acknowledgement{c.Return, v})
+		}
+	}
+	s.items = sortedItems(s.changes)
+	return s
+}
+
+// older finds what is older in a read than what was acknowledged before its call. A dropped item may be left out.
+func (s standing) older(h *History, what string, c Call, member string, versions []ItemVersion) (broken []Violation) {
+	told := map[Item]int64{}
+	for _, v := range versions {
+		told[v.Item] = v.Version
+	}
+	for _, item := range s.items {
+		var newest ItemVersion
+		for _, a := range s.changes[item] {
+			if a.at < c.Begin && a.Version > newest.Version {
+				newest = a.ItemVersion
+			}
+		}
+		version, is := told[item]
+		if version < newest.Version && (is || !mayBeDropped(h, newest, c.Return)) {
+			broken = append(broken, Violation{CheckStale, c.Return, fmt.Sprintf(
+				"%s of %s by %s at %v tells %v at version %d, but %d had been acknowledged",
+				what, c.Process, member, c.Begin, item, version, newest.Version)})
+		}
+	}
+	return broken
+}
+
+// withoutMajority says whether a member is out of contact with a majority at a time, and since when.
+// The contacts are in order.
+func withoutMajority(contacts []Contact, member string, at time.Duration) (since time.Duration, cut bool) {
+	for _, c := range contacts {
+		if c.Process != member || c.At > at {
+			continue
+		}
+		if !cut {
+			since = c.At
+		}
+		cut = !c.Majority
+	}
+	return since, cut
+}
