A simulated disk for goleveldb, and a vault over any folder

Cause: the storage code of a register ran on the machine's files only, so a loss of power could be thought about but not brought about. Change: internal/mesh/sim/disk (cache, names kept or lost by themselves, torn writes, full, unreadable, killed, wiped; all by seed); vault.OpenIn over a Folder, its journals read through the storage; the functions by path are callers of it. Options.Foreground leaves goleveldb nothing to do in the background. No change of format or behaviour.

--- a/internal/exchange/vault/journal.go
+++ b/internal/exchange/vault/journal.go
@@ -3,11 +3,11 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+	"io"
 	"io/fs"
-	"os"
-	"path/filepath"
 
 	"github.com/juju/errors"
+	"github.com/syndtr/goleveldb/leveldb/storage"
 )
 
 // A journal of goleveldb (LevelDB's log format): blocks of 32 KiB of chunks, each a checksum, a length, a type and its bytes;
@@ -29,13 +29,13 @@
 )
 
 // journals checks each journal of a store: nil where no more than its last record is torn.
-func journals(dir string) error {
-	names, err := filepath.Glob(filepath.Join(dir, "*.log"))
+func journals(files storage.Storage) error {
+	found, err := files.List(storage.TypeJournal)
 	if err != nil {
 		return errors.WithType(err, ErrDamaged)
 	}
-	for _, n := range names {
-		p, err := os.ReadFile(n)
+	for _, f := range found {
+		p, err := readAll(files, f)
 		if errors.Is(err, fs.ErrNotExist) {
 			continue
 		}
@@ -43,12 +43,21 @@
 			return errors.WithType(err, ErrDamaged)
 		}
 		if at, ok := journal(p); !ok {
-			return errors.Annotatef(ErrDamaged, "%s at byte %d", filepath.Base(n), at)
+			return errors.Annotatef(ErrDamaged, "%v at byte %d", f, at)
 		}
 	}
 	return nil
 }
 
+func readAll(files storage.Storage, f storage.FileDesc) ([]byte, error) {
+	r, err := files.Open(f)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	return io.ReadAll(r)
+}
+
 // journal walks one. ok: it is whole, or its last record alone is torn; else at is where it is damaged.
 func journal(p []byte) (at int, ok bool) {
 	torn := -1 // where the first chunk that is not whole begins
--- a/internal/exchange/vault/vault.go
+++ b/internal/exchange/vault/vault.go
@@ -8,12 +8,12 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
-	"os"
-	"path/filepath"
+	"math"
 
 	"github.com/juju/errors"
 	"github.com/syndtr/goleveldb/leveldb"
 	"github.com/syndtr/goleveldb/leveldb/opt"
+	"github.com/syndtr/goleveldb/leveldb/storage"
 	"github.com/syndtr/goleveldb/leveldb/util"
 
 	"hollyspur/internal/exchange/core"
@@ -33,9 +33,11 @@
 
 // Vault is an open store. It belongs to one goroutine.
 type Vault struct {
-	path string
-	db   *leveldb.DB
-	sync opt.WriteOptions
+	folder Folder
+	how    Options
+	files  storage.Storage
+	db     *leveldb.DB
+	sync   opt.WriteOptions
 }
 
 // Held is what a store holds.
@@ -46,22 +48,39 @@
 	Log      []core.Entry
 }
 
-func options() *opt.Options {
-	return &opt.Options{WriteBuffer: 1 << 20, BlockCacheCapacity: 256 << 10, OpenFilesCacheCapacity: 32,
+// Options are how a store works.
+type Options struct {
+	// Foreground has all work done within the calls of a Vault, so that the same calls leave the same files. Tables are never
+	// merged, so it is for short lives only, as in simulations.
+	Foreground bool
+}
+
+// writeBuffer is how many bytes stand in a journal before they go into a table.
+const writeBuffer = 1 << 20
+
+func (o Options) leveldb() *opt.Options {
+	l := &opt.Options{WriteBuffer: writeBuffer, BlockCacheCapacity: 256 << 10, OpenFilesCacheCapacity: 32,
 		CompactionTableSize: 1 << 20, Compression: opt.NoCompression, Strict: opt.DefaultStrict}
+	if o.Foreground {
+		l.CompactionL0Trigger, l.WriteL0SlowdownTrigger, l.WriteL0PauseTrigger = math.MaxInt32, math.MaxInt32, math.MaxInt32
+		l.DisableSeeksCompaction = true
+	}
+	return l
 }
 
 // Open opens the store in a folder, or makes one; empty: it holds nothing yet.
 func Open(dir string) (v *Vault, held Held, empty bool, err error) {
-	v = &Vault{path: filepath.Join(dir, "vault"), sync: opt.WriteOptions{Sync: true}}
-	if err := journals(v.path); err != nil {
+	return OpenIn(directory(dir), Options{})
+}
+
+// OpenIn is Open in any folder.
+func OpenIn(f Folder, o Options) (v *Vault, held Held, empty bool, err error) {
+	v = &Vault{folder: f, how: o, sync: opt.WriteOptions{Sync: true}}
+	if err := v.open(o.leveldb()); err != nil {
 		return nil, Held{}, false, err
 	}
-	if v.db, err = leveldb.OpenFile(v.path, options()); err != nil {
-		return nil, Held{}, false, errors.WithType(err, ErrDamaged)
-	}
 	if held, empty, err = v.read(); err != nil {
-		v.db.Close()
+		v.Close()
 		return nil, Held{}, false, err
 	}
 	return v, held, empty, nil
@@ -69,38 +88,63 @@
 
 // OpenReadOnly is Open for an inspector: nothing is written.
 func OpenReadOnly(dir string) (held Held, empty bool, err error) {
-	o := options()
+	return OpenReadOnlyIn(directory(dir))
+}
+
+// OpenReadOnlyIn is OpenReadOnly in any folder.
+func OpenReadOnlyIn(f Folder) (held Held, empty bool, err error) {
+	o := Options{}.leveldb()
 	o.ReadOnly, o.ErrorIfMissing = true, true
-	v := &Vault{path: filepath.Join(dir, "vault")}
-	if err := journals(v.path); err != nil {
+	v := &Vault{folder: f}
+	if err := v.open(o); err != nil {
 		return Held{}, false, err
 	}
-	if v.db, err = leveldb.OpenFile(v.path, o); err != nil {
-		return Held{}, false, errors.WithType(err, ErrDamaged)
-	}
-	defer v.db.Close()
+	defer v.Close()
 	return v.read()
 }
 
+// open opens the files, once their journals have been found whole.
+func (v *Vault) open(o *opt.Options) (err error) {
+	if v.files, err = v.folder.Open(o.ReadOnly); err != nil {
+		return errors.WithType(err, ErrDamaged)
+	}
+	if err = journals(v.files); err == nil {
+		if v.db, err = leveldb.Open(v.files, o); err == nil {
+			return nil
+		}
+	}
+	v.Close()
+	return errors.WithType(err, ErrDamaged)
+}
+
 // Discard removes a store that can't be opened, so that Open makes a new one.
-func Discard(dir string) error { return os.RemoveAll(filepath.Join(dir, "vault")) }
+func Discard(dir string) error { return directory(dir).Discard() }
 
 // Close closes the store.
 func (v *Vault) Close() {
 	if v.db != nil {
 		v.db.Close()
+		v.db = nil
+	}
+	if v.files != nil {
+		v.files.Close()
+		v.files = nil
 	}
 }
 
 // Reopen opens the store again: once a write was refused goleveldb refuses all, also when there is room again.
 func (v *Vault) Reopen() error {
 	v.Close()
-	v.db = nil
-	db, err := leveldb.OpenFile(v.path, options())
+	files, err := v.folder.Open(false)
+	if err != nil {
+		return errors.WithType(err, ErrWrite)
+	}
+	db, err := leveldb.Open(files, v.how.leveldb())
 	if err != nil {
+		files.Close()
 		return errors.WithType(err, ErrWrite)
 	}
-	v.db = db
+	v.files, v.db = files, db
 	return nil
 }
 
--- /dev/null
+++ b/internal/mesh/sim/disk/current.go
@@ -0,0 +1,177 @@
+package disk
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/syndtr/goleveldb/leveldb/storage"
+)
+
+// Names of the files that say which manifest holds. They are written, renamed and looked for in the order that goleveldb's
+// storage of files documents: a new pointer under a name of its own, synced, renamed over the present one, the folder synced.
+const (
+	currentName   = "CURRENT"
+	backupName    = "CURRENT.bak"
+	pendingPrefix = "CURRENT."
+)
+
+// SetMeta has a manifest hold. A loss of power may come between any two of its steps.
+func (h *handle) SetMeta(fd storage.FileDesc) error {
+	if !storage.FileDescOk(fd) {
+		return storage.ErrInvalidFile
+	}
+	pointer, present := []byte(fd.String()+"\n"), []byte(nil)
+	err := h.use(func(files *folder) error {
+		if current, is := files.names[currentName]; is {
+			present = current.cached
+		}
+		return nil
+	})
+	if err != nil || bytes.Equal(present, pointer) {
+		return err
+	}
+	if present != nil {
+		if err := h.writeSynced(backupName, present); err != nil {
+			return err
+		}
+	}
+	pending := pendingPrefix + strconv.FormatInt(fd.Num, 10)
+	if err := h.writeSynced(pending, pointer); err != nil {
+		return err
+	}
+	err = h.change(Access{Kind: AccessRename, File: pending}, false, func(files *folder) error {
+		return files.rename(pending, currentName)
+	})
+	if err != nil {
+		return err
+	}
+	return h.change(Access{Kind: AccessSyncFolder}, false, func(*folder) error {
+		h.disk.syncFolder()
+		return nil
+	})
+}
+
+// writeSynced makes a file of one synced write.
+func (h *handle) writeSynced(name string, content []byte) error {
+	var made *file
+	steps := []struct {
+		kind AccessKind
+		do   func(*folder)
+	}{
+		{AccessCreate, func(files *folder) { made = files.create(name) }},
+		{AccessWrite, func(*folder) { made.write(content) }},
+		{AccessSync, func(*folder) { h.disk.syncFile(made) }},
+	}
+	for _, step := range steps {
+		a := Access{Kind: step.kind, File: name, Bytes: len(content)}
+		err := h.change(a, step.kind != AccessSync, func(files *folder) error {
+			step.do(files)
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// GetMeta is the manifest that holds: the newest of the pointers that are whole and point at a file that is there. What a
+// loss of power left undone is done.
+func (h *handle) GetMeta() (fd storage.FileDesc, err error) {
+	var pending []string
+	var name string
+	err = h.use(func(files *folder) (damaged error) {
+		pending = files.pendingPointers()
+		fd, name, damaged = files.newestPointer(pending)
+		if name != "" {
+			return nil
+		}
+		return damaged
+	})
+	if err != nil || h.readOnly || name == currentName && len(pending) == 0 {
+		return fd, err
+	}
+	if h.SetMeta(fd) == nil { // else it is found as it was found now
+		for _, name := range pending {
+			_ = h.change(Access{Kind: AccessRemove, File: name}, false, func(files *folder) error { return files.remove(name) })
+		}
+	}
+	return fd, nil
+}
+
+// pendingPointers are the names of pointers that were not renamed, the newest first.
+func (f *folder) pendingPointers() (pending []string) {
+	number := func(name string) int64 {
+		n, err := strconv.ParseInt(strings.TrimPrefix(name, pendingPrefix), 10, 64)
+		if err != nil {
+			return -1
+		}
+		return n
+	}
+	for name := range f.names {
+		if strings.HasPrefix(name, pendingPrefix) && number(name) >= 0 {
+			pending = append(pending, name)
+		}
+	}
+	slices.SortFunc(pending, func(a, b string) int { return cmp.Compare(number(b), number(a)) })
+	return pending
+}
+
+// newestPointer is the newest manifest that a pending pointer, the present one or else its backup points at, and the
+// pointer's name; without one err says whether there was none at all or a damaged one.
+func (f *folder) newestPointer(pending []string) (fd storage.FileDesc, name string, err error) {
+	err = os.ErrNotExist
+	for _, group := range [][]string{{currentName, backupName}, pending} {
+		for _, candidate := range group {
+			target, wrong := f.pointer(candidate)
+			if wrong == nil {
+				if name == "" || target.Num > fd.Num {
+					fd, name = target, candidate
+				}
+				break
+			}
+			if wrong != os.ErrNotExist {
+				err = wrong
+			}
+		}
+	}
+	return fd, name, err
+}
+
+// pointer is where one pointer points.
+func (f *folder) pointer(name string) (storage.FileDesc, error) {
+	file, is := f.names[name]
+	if !is {
+		return storage.FileDesc{}, os.ErrNotExist
+	}
+	target, whole := strings.CutSuffix(string(file.cached), "\n")
+	fd, known := parseName(target)
+	if !whole || !known {
+		return storage.FileDesc{}, &storage.ErrCorrupted{Err: fmt.Errorf("%s is damaged", name)}
+	}
+	if _, is := f.names[target]; !is {
+		return storage.FileDesc{}, os.ErrNotExist
+	}
+	return fd, nil
+}
+
+// parseName is the inverse of FileDesc.String.
+func parseName(name string) (storage.FileDesc, bool) {
+	if digits, manifest := strings.CutPrefix(name, "MANIFEST-"); manifest {
+		n, err := strconv.ParseInt(digits, 10, 64)
+		return storage.FileDesc{Type: storage.TypeManifest, Num: n}, err == nil
+	}
+	digits, extension, _ := strings.Cut(name, ".")
+	types := map[string]storage.FileType{"log": storage.TypeJournal, "ldb": storage.TypeTable, "tmp": storage.TypeTemp}
+	n, err := strconv.ParseInt(digits, 10, 64)
+	return storage.FileDesc{Type: types[extension], Num: n}, err == nil && types[extension] != 0
+}
+
+func sortDescriptors(found []storage.FileDesc) {
+	slices.SortFunc(found, func(a, b storage.FileDesc) int { return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Num, b.Num)) })
+}
--- /dev/null
+++ b/internal/mesh/sim/disk/disk_test.go
@@ -0,0 +1,251 @@
+package disk
+
+import (
+	"bytes"
+	"io"
+	"math/rand/v2"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/syndtr/goleveldb/leveldb/storage"
+	"gotest.tools/v3/assert"
+)
+
+const crashes = 200
+
+var (
+	journal  = storage.FileDesc{Type: storage.TypeJournal, Num: 1}
+	manifest = storage.FileDesc{Type: storage.TypeManifest, Num: 2}
+	table    = storage.FileDesc{Type: storage.TypeTable, Num: 3}
+)
+
+func open(t *testing.T, d *Disk) storage.Storage {
+	t.Helper()
+	files, err := d.Open(false)
+	assert.NilError(t, err)
+	return files
+}
+
+func create(t *testing.T, files storage.Storage, fd storage.FileDesc, text string) storage.Writer {
+	t.Helper()
+	w, err := files.Create(fd)
+	assert.NilError(t, err)
+	_, err = w.Write([]byte(text))
+	assert.NilError(t, err)
+	return w
+}
+
+func read(t *testing.T, files storage.Storage, fd storage.FileDesc) (text string, is bool) {
+	t.Helper()
+	r, err := files.Open(fd)
+	if errors.Is(err, os.ErrNotExist) {
+		return "", false
+	}
+	assert.NilError(t, err)
+	p, err := io.ReadAll(r)
+	assert.NilError(t, err)
+	return string(p), true
+}
+
+// What was synced is there after every loss of power; a file whose folder was not synced is there in some of them.
+func TestCrashKeepsWhatWasSynced(t *testing.T) {
+	var kept, torn int
+	for seed := range uint64(crashes) {
+		d := New()
+		files := open(t, d)
+		w := create(t, files, journal, "synced")
+		assert.NilError(t, w.Sync())
+		assert.NilError(t, d.Sync())
+		_, err := w.Write([]byte("unsynced"))
+		assert.NilError(t, err)
+		assert.NilError(t, create(t, files, table, "table").Sync())
+		d.Crash(rand.New(rand.NewPCG(seed, 1)), Cut)
+		text, is := read(t, open(t, d), journal)
+		assert.Assert(t, is && text >= "synced" && len(text) <= len("syncedunsynced"), "%q", text)
+		if len(text) < len("syncedunsynced") {
+			torn++
+		}
+		if text, is := read(t, open(t, d), table); is {
+			kept++
+			assert.Equal(t, text, "table")
+		}
+	}
+	assert.Assert(t, kept > 0 && kept < crashes, "the unsynced name was kept in %d of %d", kept, crashes)
+	assert.Assert(t, torn > 0 && torn < crashes, "the unsynced write was torn in %d of %d", torn, crashes)
+}
+
+// Every name is kept or lost by itself: all four outcomes of a removal and a renaming are seen.
+func TestCrashKeepsOrLosesEachName(t *testing.T) {
+	seen := map[[3]bool]int{}
+	renamed := storage.FileDesc{Type: storage.TypeTable, Num: 4}
+	for seed := range uint64(crashes) {
+		d := New()
+		files := open(t, d)
+		assert.NilError(t, create(t, files, journal, "a").Sync())
+		assert.NilError(t, create(t, files, table, "b").Sync())
+		assert.NilError(t, d.Sync())
+		assert.NilError(t, files.Remove(journal))
+		assert.NilError(t, files.Rename(table, renamed))
+		d.Crash(rand.New(rand.NewPCG(seed, 2)))
+		var is [3]bool
+		for n, fd := range []storage.FileDesc{journal, table, renamed} {
+			_, is[n] = read(t, open(t, d), fd)
+		}
+		assert.Assert(t, is[1] != is[2], "a renaming is kept or lost whole")
+		seen[is]++
+	}
+	assert.Equal(t, len(seen), 4, "%v", seen)
+}
+
+func TestTornWrites(t *testing.T) {
+	data := []byte("0123456789")
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range crashes {
+		cut := tear(data, rng, []Tear{Cut})
+		assert.Assert(t, len(cut) < len(data) && bytes.HasPrefix(data, cut))
+		zeroed := tear(data, rng, []Tear{Zeroed})
+		assert.Equal(t, len(zeroed), len(data))
+		assert.Assert(t, bytes.HasPrefix(data, bytes.TrimRight(zeroed, "\x00")) && zeroed[9] == 0)
+		assert.Equal(t, len(tear(data, rng, []Tear{Flipped})), len(data))
+	}
+	assert.DeepEqual(t, data, []byte("0123456789"))
+}
+
+// A manifest's sync makes the names in the folder lasting, and the pointer to it comes after every loss of power.
+func TestManifestHolds(t *testing.T) {
+	for seed := range uint64(crashes) {
+		d := New()
+		files := open(t, d)
+		create(t, files, journal, "")
+		assert.NilError(t, create(t, files, manifest, "m").Sync())
+		assert.NilError(t, files.SetMeta(manifest))
+		d.Crash(rand.New(rand.NewPCG(seed, 3)))
+		files = open(t, d)
+		held, err := files.GetMeta()
+		assert.NilError(t, err)
+		assert.Equal(t, held, manifest)
+		_, is := read(t, files, journal)
+		assert.Assert(t, is)
+	}
+}
+
+// A loss of power at each step of the change from one manifest to another leaves one of the two, and no wrong pointer.
+func TestCrashWithinSetMeta(t *testing.T) {
+	next := storage.FileDesc{Type: storage.TypeManifest, Num: 9}
+	const steps = 8
+	seen := map[storage.FileDesc]int{}
+	for seed := range uint64(crashes) {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		d := New()
+		files := open(t, d)
+		assert.NilError(t, create(t, files, manifest, "m").Sync())
+		assert.NilError(t, files.SetMeta(manifest))
+		assert.NilError(t, create(t, files, next, "n").Sync())
+		crashAt(d, rng, rng.IntN(steps))
+		_ = files.SetMeta(next)
+		d.OnAccess(nil)
+		d.KillProcess()
+		held, err := open(t, d).GetMeta()
+		assert.NilError(t, err)
+		seen[held]++
+	}
+	assert.Equal(t, len(seen), 2, "%v", seen)
+}
+
+// crashAt has the power go before the n-th access from now on.
+func crashAt(d *Disk, rng *rand.Rand, n int) {
+	d.OnAccess(func(Access) {
+		if n == 0 {
+			d.Crash(rng)
+		}
+		n--
+	})
+}
+
+func TestKilledProcessKeepsItsWritesAndLosesItsHandles(t *testing.T) {
+	d := New()
+	files := open(t, d)
+	w := create(t, files, journal, "unsynced")
+	d.KillProcess()
+	_, err := w.Write([]byte("late"))
+	assert.Assert(t, errors.Is(err, storage.ErrClosed), "%v", err)
+	_, err = files.List(storage.TypeAll)
+	assert.Assert(t, errors.Is(err, storage.ErrClosed), "%v", err)
+	text, _ := read(t, open(t, d), journal)
+	assert.Equal(t, text, "unsynced")
+}
+
+func TestFullUnreadableWipedAndLocked(t *testing.T) {
+	d := New()
+	files := open(t, d)
+	w := create(t, files, journal, "text")
+	d.SetFull(true)
+	_, err := w.Write([]byte("more"))
+	assert.Assert(t, errors.Is(err, syscall.ENOSPC), "%v", err)
+	_, err = files.Create(table)
+	assert.Assert(t, errors.Is(err, syscall.ENOSPC), "%v", err)
+	assert.Assert(t, errors.Is(files.SetMeta(manifest), syscall.ENOSPC))
+	d.SetFull(false)
+	d.SetReadErrors(true)
+	r, err := files.Open(journal)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(r)
+	assert.Assert(t, errors.Is(err, syscall.EIO), "%v", err)
+	d.SetReadErrors(false)
+
+	lock, err := files.Lock()
+	assert.NilError(t, err)
+	_, err = open(t, d).Lock()
+	assert.Assert(t, errors.Is(err, storage.ErrLocked), "%v", err)
+	lock.Unlock()
+	_, err = open(t, d).Lock()
+	assert.NilError(t, err)
+
+	d.Wipe()
+	assert.Equal(t, len(d.Names()), 0)
+	_, err = open(t, d).Lock()
+	assert.NilError(t, err)
+}
+
+// A disk whose syncs do nothing loses what was synced in some losses of power.
+func TestSynclessLoses(t *testing.T) {
+	var lost int
+	for seed := range uint64(crashes) {
+		d := New()
+		d.SetSyncless(true)
+		assert.NilError(t, create(t, open(t, d), journal, "text").Sync())
+		assert.NilError(t, d.Sync())
+		d.Crash(rand.New(rand.NewPCG(seed, 5)))
+		if text, _ := read(t, open(t, d), journal); text != "text" {
+			lost++
+		}
+	}
+	assert.Assert(t, lost > 0)
+}
+
+// The same calls and the same seed leave the same bytes; an access is told with its file and bytes.
+func TestSameSeedSameDisk(t *testing.T) {
+	run := func(seed uint64) (uint64, []Access) {
+		var told []Access
+		d := New()
+		d.OnAccess(func(a Access) { told = append(told, a) })
+		files := open(t, d)
+		create(t, files, journal, "one")
+		create(t, files, table, "two")
+		assert.NilError(t, files.Remove(journal))
+		d.Crash(rand.New(rand.NewPCG(seed, 6)))
+		_, _, _ = d.Flip(rand.New(rand.NewPCG(seed, 7)))
+		return d.Fingerprint(), told
+	}
+	sums := map[uint64]bool{}
+	for seed := range uint64(20) {
+		first, told := run(seed)
+		again, _ := run(seed)
+		assert.Equal(t, first, again)
+		assert.DeepEqual(t, told[1], Access{Kind: AccessWrite, File: "000001.log", Bytes: 3})
+		sums[first] = true
+	}
+	assert.Assert(t, len(sums) > 3, "seeds differ")
+}
--- /dev/null
+++ b/internal/mesh/sim/disk/file.go
@@ -0,0 +1,96 @@
+package disk
+
+import (
+	"bytes"
+	"math/rand/v2"
+)
+
+// Tear is a way in which a loss of power leaves a write that was not synced.
+type Tear uint8
+
+// Ways to tear a write.
+const (
+	Cut     Tear = iota // the file ends within it
+	Zeroed              // the file has its length, but from some byte on zeros
+	Flipped             // it is there, with some bits turned
+)
+
+// file is one file's bytes. Slices that were handed out are never written to: bytes are appended behind them or replaced.
+type file struct {
+	cached   []byte  // as processes see it
+	synced   []byte  // as of its last sync
+	unsynced []write // what was done to it since then
+}
+
+// write is one write behind a file's end, or the removal of all its bytes.
+type write struct {
+	truncate bool
+	data     []byte
+}
+
+func (f *file) write(p []byte) {
+	data := bytes.Clone(p)
+	f.cached = append(f.cached, data...)
+	f.unsynced = append(f.unsynced, write{data: data})
+}
+
+func (f *file) truncate() {
+	f.cached = nil
+	f.unsynced = append(f.unsynced, write{truncate: true})
+}
+
+func (f *file) sync() {
+	f.synced = f.cached[:len(f.cached):len(f.cached)]
+	f.unsynced = nil
+}
+
+// lose keeps some of the unsynced writes, and tears the next one.
+func (f *file) lose(rng *rand.Rand, tears []Tear) {
+	if len(f.unsynced) == 0 {
+		return
+	}
+	kept := bytes.Clone(f.synced)
+	whole := rng.IntN(len(f.unsynced) + 1)
+	for _, w := range f.unsynced[:whole] {
+		if w.truncate {
+			kept = nil
+		}
+		kept = append(kept, w.data...)
+	}
+	if whole < len(f.unsynced) {
+		kept = append(kept, tear(f.unsynced[whole].data, rng, tears)...)
+	}
+	f.cached, f.synced, f.unsynced = kept, kept, nil
+}
+
+// tear is what a torn write leaves.
+func tear(data []byte, rng *rand.Rand, tears []Tear) []byte {
+	if len(data) == 0 {
+		return nil
+	}
+	how := tears[rng.IntN(len(tears))]
+	at := rng.IntN(len(data))
+	switch how {
+	case Zeroed:
+		return append(bytes.Clone(data[:at]), make([]byte, len(data)-at)...)
+	case Flipped:
+		turned := bytes.Clone(data)
+		for range 1 + rng.IntN(3) {
+			turned[rng.IntN(len(turned))] ^= 1 << rng.IntN(8)
+		}
+		return turned
+	}
+	return data[:at]
+}
+
+// flip turns one bit, also in what was synced, and says where.
+func (f *file) flip(rng *rand.Rand) int {
+	at, bit := rng.IntN(len(f.cached)), byte(1)<<rng.IntN(8)
+	f.cached = bytes.Clone(f.cached)
+	f.cached[at] ^= bit
+	if at < len(f.synced) {
+		f.synced = bytes.Clone(f.synced)
+		f.synced[at] ^= bit
+	}
+	return at
+}
--- /dev/null
+++ b/internal/mesh/sim/disk/handle.go
@@ -0,0 +1,215 @@
+package disk
+
+import (
+	"bytes"
+	"os"
+	"syscall"
+
+	"github.com/juju/errors"
+	"github.com/syndtr/goleveldb/leveldb/storage"
+)
+
+// handle is the disk as one process sees it.
+type handle struct {
+	disk     *Disk
+	process  uint64
+	readOnly bool
+	closed   bool // guarded by disk.mu, as locked is
+	locked   bool
+}
+
+var errReadOnly = errors.New("the files were opened for reading only")
+
+// use runs f under the disk's lock while the handle is open.
+func (h *handle) use(f func(*folder) error) error {
+	h.disk.mu.Lock()
+	defer h.disk.mu.Unlock()
+	if h.closed || h.process != h.disk.process {
+		return storage.ErrClosed
+	}
+	return f(&h.disk.folder)
+}
+
+// change is use for what writes; needsRoom: a full disk refuses it.
+func (h *handle) change(a Access, needsRoom bool, f func(*folder) error) error {
+	if h.readOnly {
+		return errReadOnly
+	}
+	h.disk.access(a)
+	return h.use(func(files *folder) error {
+		if needsRoom && h.disk.full {
+			return &os.PathError{Op: string(a.Kind), Path: a.File, Err: syscall.ENOSPC}
+		}
+		return f(files)
+	})
+}
+
+// Lock keeps a second store from the same files.
+func (h *handle) Lock() (storage.Locker, error) {
+	if h.readOnly {
+		return &lock{}, nil
+	}
+	return &lock{h}, h.use(func(*folder) error {
+		if h.disk.locked {
+			return storage.ErrLocked
+		}
+		h.disk.locked, h.locked = true, true
+		return nil
+	})
+}
+
+type lock struct{ handle *handle }
+
+// Unlock ends a Lock.
+func (l *lock) Unlock() {
+	if l.handle != nil {
+		_ = l.handle.use(func(*folder) error { l.handle.unlock(); return nil })
+	}
+}
+
+func (h *handle) unlock() {
+	if h.locked {
+		h.disk.locked, h.locked = false, false
+	}
+}
+
+// Log drops goleveldb's notes.
+func (h *handle) Log(string) {}
+
+// List names the files of some types.
+func (h *handle) List(types storage.FileType) (found []storage.FileDesc, err error) {
+	return found, h.use(func(files *folder) error {
+		for name := range files.names {
+			if fd, known := parseName(name); known && fd.Type&types != 0 {
+				found = append(found, fd)
+			}
+		}
+		sortDescriptors(found)
+		return nil
+	})
+}
+
+// Open opens a file for reading.
+func (h *handle) Open(fd storage.FileDesc) (storage.Reader, error) {
+	if !storage.FileDescOk(fd) {
+		return nil, storage.ErrInvalidFile
+	}
+	var r *reader
+	return r, h.use(func(files *folder) error {
+		f, is := files.names[fd.String()]
+		if !is {
+			return missing("open", fd.String())
+		}
+		r = &reader{Reader: *bytes.NewReader(f.cached), handle: h, name: fd.String()}
+		return nil
+	})
+}
+
+// Create makes a file, or empties it, for writing.
+func (h *handle) Create(fd storage.FileDesc) (storage.Writer, error) {
+	if !storage.FileDescOk(fd) {
+		return nil, storage.ErrInvalidFile
+	}
+	w := &writer{handle: h, descriptor: fd}
+	return w, h.change(Access{Kind: AccessCreate, File: fd.String()}, true, func(files *folder) error {
+		w.file = files.create(fd.String())
+		return nil
+	})
+}
+
+// Remove removes a file.
+func (h *handle) Remove(fd storage.FileDesc) error {
+	return h.change(Access{Kind: AccessRemove, File: fd.String()}, false, func(files *folder) error {
+		return files.remove(fd.String())
+	})
+}
+
+// Rename renames a file, in place of any that has the name.
+func (h *handle) Rename(from, to storage.FileDesc) error {
+	if from == to {
+		return nil
+	}
+	return h.change(Access{Kind: AccessRename, File: from.String()}, false, func(files *folder) error {
+		return files.rename(from.String(), to.String())
+	})
+}
+
+// Close closes the handle.
+func (h *handle) Close() error {
+	return h.use(func(*folder) error {
+		h.unlock()
+		h.closed = true
+		return nil
+	})
+}
+
+// reader reads a file as it was when it was opened.
+type reader struct {
+	bytes.Reader
+	handle *handle
+	name   string
+}
+
+// Read reads on.
+func (r *reader) Read(p []byte) (int, error) {
+	if err := r.readable(len(p)); err != nil {
+		return 0, err
+	}
+	return r.Reader.Read(p)
+}
+
+// ReadAt reads anywhere.
+func (r *reader) ReadAt(p []byte, at int64) (int, error) {
+	if err := r.readable(len(p)); err != nil {
+		return 0, err
+	}
+	return r.Reader.ReadAt(p, at)
+}
+
+func (r *reader) readable(n int) error {
+	r.handle.disk.access(Access{Kind: AccessRead, File: r.name, Bytes: n})
+	return r.handle.use(func(*folder) error {
+		if r.handle.disk.unread {
+			return &os.PathError{Op: "read", Path: r.name, Err: syscall.EIO}
+		}
+		return nil
+	})
+}
+
+// Close ends the reading.
+func (r *reader) Close() error { return nil }
+
+// writer writes behind a file's end.
+type writer struct {
+	handle     *handle
+	descriptor storage.FileDesc
+	file       *file
+}
+
+// Write writes into the cache.
+func (w *writer) Write(p []byte) (int, error) {
+	a := Access{Kind: AccessWrite, File: w.descriptor.String(), Bytes: len(p)}
+	err := w.handle.change(a, true, func(*folder) error {
+		w.file.write(p)
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// Sync makes the file's bytes lasting; a manifest's sync does the same with the names in the folder, as goleveldb's own
+// storage of files has it.
+func (w *writer) Sync() error {
+	return w.handle.change(Access{Kind: AccessSync, File: w.descriptor.String()}, false, func(*folder) error {
+		w.handle.disk.syncFile(w.file)
+		if w.descriptor.Type == storage.TypeManifest {
+			w.handle.disk.syncFolder()
+		}
+		return nil
+	})
+}
+
+// Close ends the writing. It syncs nothing.
+func (w *writer) Close() error { return nil }
