Agreement gives the same outputs again for the same events

A leader kept its peers in a map: heartbeats, entries and changes of members went out in the map's order, so no run could be played again. They are a list sorted by ID now.

--- a/internal/exchange/core/core.go
+++ b/internal/exchange/core/core.go
@@ -115,16 +115,6 @@
 // yielded is the Hint of an Elect that the leader asked for: those who hear of it vote all the same.
 const yielded = 1
 
-// progress is what a leader knows of another.
-type progress struct {
-	Member
-	match, next uint64
-	heard       time.Duration
-	seq         uint64        // latest round that it answered
-	sent        time.Duration // the last Append
-	paused      bool          // a rejection or a snapshot is under way until it answers or a beat is due
-}
-
 // Core is one register's side. It belongs to one goroutine.
 type Core struct {
 	cfg   Config
@@ -150,7 +140,7 @@
 	votes    map[ID]bool   // of this election, by id: yes or no
 	yielded  bool          // the leader has asked for this one's election
 
-	peers     map[ID]*progress // a leader's: members and joiners
+	peers     progressList // a leader's: members and joiners
 	seq       uint64
 	beatAt    time.Duration
 	elected   time.Duration
@@ -282,7 +272,7 @@
 
 // Addr is where a member listens; "": it is none that is known.
 func (c *Core) Addr(id ID) string {
-	if p := c.peers[id]; p != nil && c.role == leader {
+	if p := c.peers.get(id); p != nil && c.role == leader {
 		return p.Addr
 	}
 	for _, m := range c.members {
@@ -351,6 +341,6 @@
 
 func (c *Core) quorumHeard(now, within time.Duration) bool {
 	return c.most(func(id ID) bool {
-		return id == c.cfg.Self.ID || c.peers[id] != nil && now-c.peers[id].heard < within
+		return id == c.cfg.Self.ID || c.peers.heardSince(id, now-within)
 	})
 }
--- a/internal/exchange/core/elect.go
+++ b/internal/exchange/core/elect.go
@@ -101,7 +101,7 @@
 		return
 	}
 	c.become(leader, c.term, c.cfg.Self.ID)
-	c.peers, c.elected, c.stampBase = map[ID]*progress{}, c.now, c.lastStamp()
+	c.peers, c.elected, c.stampBase = nil, c.now, c.lastStamp()
 	c.follow()
 	c.add(Entry{Kind: Blank})
 	c.beat()
@@ -110,10 +110,10 @@
 // follow has a leader keep track of each member.
 func (c *Core) follow() {
 	for _, m := range c.members {
-		if p := c.peers[m.ID]; p != nil {
+		if p := c.peers.get(m.ID); p != nil {
 			p.Member = m
 		} else if m.ID != c.cfg.Self.ID {
-			c.peers[m.ID] = &progress{Member: m, next: c.last() + 1, heard: c.now}
+			c.peers.add(&progress{Member: m, next: c.last() + 1, heard: c.now})
 		}
 	}
 }
--- a/internal/exchange/core/leader.go
+++ b/internal/exchange/core/leader.go
@@ -34,7 +34,7 @@
 	}
 	var best *progress
 	for _, m := range c.members {
-		if p := c.peers[m.ID]; p != nil && c.now-p.heard < c.cfg.Election && (best == nil || p.match > best.match) {
+		if p := c.peers.get(m.ID); p != nil && c.now-p.heard < c.cfg.Election && (best == nil || p.match > best.match) {
 			best = p
 		}
 	}
@@ -82,7 +82,7 @@
 
 // Hears says that a member is there, as far as the leader knows.
 func (c *Core) Hears(id ID) bool {
-	p := c.peers[id]
+	p := c.peers.get(id)
 	return id == c.cfg.Self.ID || p != nil && c.now-p.heard < c.cfg.Election
 }
 
@@ -154,7 +154,8 @@
 			if id == c.cfg.Self.ID {
 				return c.saved >= n
 			}
-			return c.peers[id] != nil && c.peers[id].match >= n
+			p := c.peers.get(id)
+			return p != nil && p.match >= n
 		}) {
 			c.commit = n
 			c.Flush()
--- a/internal/exchange/core/messages.go
+++ b/internal/exchange/core/messages.go
@@ -196,7 +196,7 @@
 }
 
 func (c *Core) takeAppended(m Message) {
-	p := c.peers[m.From]
+	p := c.peers.get(m.From)
 	if c.role != leader || p == nil {
 		return
 	}
@@ -218,7 +218,8 @@
 		}
 	}
 	for len(c.reads) > 0 && c.most(func(id ID) bool {
-		return id == c.cfg.Self.ID || c.peers[id] != nil && c.peers[id].seq >= c.reads[0].seq
+		p := c.peers.get(id)
+		return id == c.cfg.Self.ID || p != nil && p.seq >= c.reads[0].seq
 	}) {
 		c.readsDone = append(c.readsDone, Read{c.reads[0].id, c.reads[0].index})
 		c.reads = c.reads[1:]
@@ -232,10 +233,10 @@
 		}
 		return
 	}
-	p := c.peers[m.From]
+	p := c.peers.get(m.From)
 	if p == nil {
 		p = &progress{Member: Member{m.From, m.Addr}, next: c.last() + 1}
-		c.peers[m.From] = p
+		c.peers.add(p)
 	}
 	if !c.isMember(m.From) {
 		p.Addr = m.Addr
--- /dev/null
+++ b/internal/exchange/core/schedule_test.go
@@ -0,0 +1,260 @@
+package core
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+const tickT = 50 * time.Millisecond
+
+// schedule plays one random schedule, drawn from a seed, over registers in one simulated time: messages are delivered in
+// any order, lost or delivered twice, registers are restarted at any point of a turn, stand still, and lose their disks.
+// Each turn is checked by world.
+type schedule struct {
+	world
+	rng    *rand.Rand
+	now    time.Duration
+	ticked time.Duration
+	frozen map[int]bool
+	nextID ID
+	wipes  int // disks lost so far
+	plant  plant
+	log    bytes.Buffer // every Ready, in order; only where it is recorded
+	reads  uint64
+}
+
+func newSchedule(seed uint64, registers, joiners int) *schedule {
+	s := &schedule{world: *found(registers), rng: rand.New(rand.NewPCG(seed, 0x5eed)), frozen: map[int]bool{}, nextID: 100}
+	for range joiners {
+		n := &node{self: Member{s.nextID, fmt.Sprint("r", s.nextID)}}
+		n.start()
+		s.nodes = append(s.nodes, n)
+		s.nextID++
+	}
+	return s
+}
+
+// record keeps every Ready in the schedule's log.
+func (s *schedule) record() {
+	s.observe = func(n *node, r Ready) {
+		text, err := json.Marshal(r)
+		if err != nil {
+			panic(err)
+		}
+		fmt.Fprintf(&s.log, "%d %s\n", n.self.ID, text)
+	}
+}
+
+// run plays so many events.
+func (s *schedule) run(events int) error {
+	for range events {
+		if err := s.event(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// event is one step of a few milliseconds: some of what is under way arrives, and now and then something else happens.
+func (s *schedule) event() error {
+	s.now += time.Duration(s.rng.Int64N(int64(10 * time.Millisecond)))
+	due := s.net
+	s.net = nil
+	for _, k := range s.rng.Perm(len(due)) {
+		if s.rng.IntN(3) == 0 {
+			s.net = append(s.net, due[k]) // later
+		} else if err := s.deliver(due[k]); err != nil {
+			return err
+		}
+	}
+	if s.now-s.ticked > tickT {
+		if err := s.tick(); err != nil {
+			return err
+		}
+	}
+	switch x := s.rng.IntN(1000); {
+	case x < 200:
+		return s.propose()
+	case x < 250:
+		return s.read()
+	case x < 256:
+		s.freeze()
+	case x < 262:
+		clear(s.frozen)
+	case x < 270:
+		return s.wipe()
+	case x < 280:
+		s.compact()
+	case x < 283:
+		return s.cutTurn()
+	}
+	return nil
+}
+
+// deliver has one message arrive, unless it is lost; it may come once more.
+func (s *schedule) deliver(m Message) error {
+	i := slices.IndexFunc(s.nodes, func(n *node) bool { return n.self.ID == m.To })
+	if i < 0 {
+		return nil
+	}
+	if s.frozen[i] {
+		if s.rng.IntN(10) > 0 {
+			s.net = append(s.net, m) // it waits there, or is lost
+		}
+		return nil
+	}
+	cut := whole
+	switch s.rng.IntN(200) {
+	case 0, 1:
+		return nil
+	case 2, 3:
+		s.net = append(s.net, m)
+	case 4:
+		cut = beforeSync + s.rng.IntN(2)
+	}
+	s.nodes[i].now = s.now
+	s.nodes[i].c.Step(s.now, m)
+	return s.turn(i, cut, s.plant)
+}
+
+// freeze has one register stand still.
+func (s *schedule) freeze() {
+	if len(s.frozen) == 0 {
+		s.frozen[s.rng.IntN(len(s.nodes))] = true
+	}
+}
+
+// cutTurn restarts one register.
+func (s *schedule) cutTurn() error {
+	i := s.rng.IntN(len(s.nodes))
+	if !s.frozen[i] {
+		s.nodes[i].now = s.now
+		s.nodes[i].start()
+	}
+	return nil
+}
+
+// tick lets each that does not stand still see to what time does.
+func (s *schedule) tick() error {
+	s.ticked = s.now
+	for i, n := range s.nodes {
+		if s.frozen[i] {
+			continue
+		}
+		n.now = s.now
+		n.c.Tick(s.now)
+		if n.c.Outside() {
+			for _, other := range s.nodes {
+				if other != n {
+					s.net = append(s.net, Message{Kind: Join, From: n.self.ID, To: other.self.ID, Addr: n.self.Addr})
+				}
+			}
+		}
+		if err := s.turn(i, whole, s.plant); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// leaders are those that take themselves for one and don't stand still.
+func (s *schedule) leader() (int, bool) {
+	var l []int
+	for i, n := range s.nodes {
+		if n.c.Leads() && !s.frozen[i] {
+			l = append(l, i)
+		}
+	}
+	if len(l) == 0 {
+		return 0, false
+	}
+	return l[s.rng.IntN(len(l))], true
+}
+
+func (s *schedule) propose() error {
+	i, ok := s.leader()
+	if !ok {
+		return nil
+	}
+	s.proposed++
+	s.nodes[i].c.Propose(s.now, fmt.Append(nil, s.proposed))
+	return s.turn(i, whole, s.plant)
+}
+
+func (s *schedule) read() error {
+	i, ok := s.leader()
+	if !ok {
+		return nil
+	}
+	s.reads++
+	s.asked[s.reads] = s.acked
+	if !s.nodes[i].c.Ask(s.now, s.reads) {
+		return nil
+	}
+	return s.turn(i, whole, s.plant)
+}
+
+// wipe has one register lose its disk: only while all voters run and none of them has lost its disk before, for the loss of
+// one is what three bear.
+func (s *schedule) wipe() error {
+	i := s.rng.IntN(len(s.nodes))
+	n := s.nodes[i]
+	lead, ok := s.leader()
+	if !ok || len(s.frozen) > 0 {
+		return nil
+	}
+	members, _ := s.nodes[lead].c.Members()
+	if len(members) < 3 || !s.nodes[lead].c.Current() {
+		return nil
+	}
+	for _, m := range members {
+		j := slices.IndexFunc(s.nodes, func(x *node) bool { return x.self.ID == m.ID })
+		if j < 0 || s.nodes[j].c.Applied() < s.acked {
+			return nil
+		}
+	}
+	s.wipes++
+	n.wiped++
+	*n = node{self: Member{s.nextID, n.self.Addr}, now: s.now, wiped: n.wiped}
+	s.nextID++
+	n.start()
+	return nil
+}
+
+// compact has one register forget the beginning of its log.
+func (s *schedule) compact() {
+	n := s.nodes[s.rng.IntN(len(s.nodes))]
+	if at := n.c.Applied(); at > n.c.snap.Index {
+		n.snap = n.c.Compact(at, fmt.Append(nil, "state at ", at))
+		n.log = slices.Clone(n.c.log)
+	}
+}
+
+// The same events give the same actions, byte for byte: no order of a map, no clock and no other chance is in them.
+func TestReplay(t *testing.T) {
+	for seed := range uint64(12) {
+		var logs [2][]byte
+		for i := range logs {
+			s := newSchedule(seed, 3, 2)
+			s.record()
+			if err := s.run(1500); err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			logs[i] = s.log.Bytes()
+		}
+		if !bytes.Equal(logs[0], logs[1]) {
+			a, b := bytes.Split(logs[0], []byte("\n")), bytes.Split(logs[1], []byte("\n"))
+			for i := range min(len(a), len(b)) {
+				if !bytes.Equal(a[i], b[i]) {
+					t.Fatalf("seed %d: Ready %d is not the same again:\n%s\n%s", seed, i, a[i], b[i])
+				}
+			}
+			t.Fatalf("seed %d: %d and %d outputs", seed, len(a), len(b))
+		}
+	}
+}
--- a/internal/exchange/core/search_test.go
+++ b/internal/exchange/core/search_test.go
@@ -42,7 +42,8 @@
 	trail    []string
 	lives    int // crashes, wipes and losses that are left
 	proposed int
-	asked    map[uint64]uint64 // by read: the highest index acknowledged when it was asked for
+	asked    map[uint64]uint64  // by read: the highest index acknowledged when it was asked for
+	observe  func(*node, Ready) // called with each Ready before it is carried out; nil: nobody looks
 }
 
 // orders say what a search tries beyond every order of deliveries, and each turn cut before and after its sync.
@@ -75,10 +76,10 @@
 		}
 	}
 	if c.peers != nil {
-		c.peers = map[ID]*progress{}
-		for k, v := range n.c.peers {
+		c.peers = nil
+		for _, v := range n.c.peers {
 			p := *v
-			c.peers[k] = &p
+			c.peers = append(c.peers, &p)
 		}
 	}
 	m.c = &c
@@ -127,7 +128,7 @@
 		}
 		for _, m := range c.members {
 			put(uint64(m.ID))
-			if p := c.peers[m.ID]; p != nil {
+			if p := c.peers.get(m.ID); p != nil {
 				put(p.match, p.next, flag(p.paused))
 			}
 			put(flag(c.votes[m.ID]))
@@ -201,6 +202,9 @@
 		if len(r.Before)+len(r.After)+len(r.Committed)+len(r.Reads) == 0 && !r.Must() {
 			return w.check(n)
 		}
+		if w.observe != nil {
+			w.observe(n, r)
+		}
 		w.net = append(w.net, r.Before...)
 		if cut == beforeSync && r.Must() {
 			if p.noSync { // it had answered all the same
