--- a/internal/exchange/register/register.go
+++ b/internal/exchange/register/register.go
@@ -64,7 +64,6 @@
 
 	mu    sync.Mutex       // guards links
 	links map[string]*link // to other registers, by address
-	conns sync.WaitGroup
 
 	// Owned by Run's goroutine.
 	self      core.Member
