--- a/internal/exchange/register/calls.go
+++ b/internal/exchange/register/calls.go
@@ -7,88 +7,45 @@
 
 	"hollyspur/internal/exchange/control"
 	"hollyspur/internal/exchange/patch"
-	"hollyspur/internal/exchange/trunk"
+	"hollyspur/internal/mesh/replica"
 )
 
 // handlers are the operators' calls.
 func (r *Register) handlers() *http.Server {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/configuration/modify", control.Handle(mostBody, answerWithin,
+	mux.HandleFunc("POST /v1/configuration/modify", control.Handle(mostBody, replica.AnswerWithin,
 		func(ctx context.Context, _ *http.Request, call control.Raw) (control.None, error) {
 			return control.None{}, r.takeModify(ctx, call)
 		}))
-	mux.HandleFunc("GET /v1/configuration/fetch", control.Handle(0, answerWithin,
+	mux.HandleFunc("GET /v1/configuration/fetch", control.Handle(0, replica.AnswerWithin,
 		func(ctx context.Context, _ *http.Request, _ control.None) (patch.Set, error) { return r.fetch(ctx) }))
-	mux.HandleFunc("POST /v1/night", control.Handle(mostBody, answerWithin, atLeader(r, r.takeNight)))
-	mux.HandleFunc("POST /v1/rules", control.Handle(mostBody, answerWithin, atLeader(r, r.takeRules)))
+	mux.HandleFunc("POST /v1/night", control.Handle(mostBody, replica.AnswerWithin, atLeader(r, r.takeNight)))
+	mux.HandleFunc("POST /v1/rules", control.Handle(mostBody, replica.AnswerWithin, atLeader(r, r.takeRules)))
 	return control.Serve(mux)
 }
 
-type modified struct {
-	status int
-	text   string
-}
-
 // takeModify has an operator's call agreed on, here or at the leader.
 func (r *Register) takeModify(ctx context.Context, body []byte) error {
 	if _, err := patch.Read(body); err != nil {
-		status, text := statusOf(err)
+		reply := replica.StatusOf(err)
 		r.log.Info().Err(err).Msg("a call was refused")
-		return control.Fault(status, text)
+		return control.Fault(reply.Status, string(reply.Body))
 	}
-	done := make(chan modified, 1)
+	done := make(chan replica.Reply, 1)
 	r.Do(func() {
-		if r.core.Leads() {
-			r.modify(body, func(status int, text string) { done <- modified{status, text} })
-			return
-		}
-		l := r.leader()
-		if l == nil {
-			done <- modified{http.StatusServiceUnavailable, "no leader is known"}
-			return
-		}
-		go func() {
-			t, err := l.ask(ctx, trunk.AskModify, body)
-			if err != nil {
-				done <- modified{http.StatusServiceUnavailable, err.Error()}
-				return
-			}
-			done <- modified{int(t.Status), string(t.Body)}
-		}()
+		r.replica.Modify(r.now(), body, func(reply replica.Reply) { done <- reply })
 	})
 	select {
-	case m := <-done:
-		if m.status == http.StatusOK {
+	case reply := <-done:
+		if reply.Status == http.StatusOK {
 			return nil
 		}
-		return control.Fault(m.status, m.text)
+		return control.Fault(reply.Status, string(reply.Body))
 	case <-ctx.Done():
 		return control.Fault(http.StatusServiceUnavailable, "not agreed on in time; it may still be taken")
 	}
 }
 
-// modify proposes an operator's call, at the leader.
-func (r *Register) modify(body []byte, done func(status int, text string)) {
-	c, err := patch.ReadCall(body)
-	if err != nil {
-		done(statusOf(err))
-		return
-	}
-	ok := r.propose(change(changeItems, patch.WireCall(c)), func(o outcome, known bool) {
-		switch {
-		case !known:
-			done(http.StatusServiceUnavailable, "another leader took over; it may still be taken")
-		case o.err != nil:
-			done(statusOf(o.err))
-		default:
-			done(http.StatusOK, "")
-		}
-	})
-	if !ok {
-		done(http.StatusServiceUnavailable, "not the leader any more")
-	}
-}
-
 // atLeader answers a call that only the leader can, on Run's goroutine. Another register sends whoever calls there.
 func atLeader[C, A any](r *Register, take func(call C, done func(A, error))) func(context.Context, *http.Request, C) (A, error) {
 	return func(ctx context.Context, hr *http.Request, call C) (a A, err error) {
@@ -98,8 +55,8 @@
 		}
 		got := make(chan told, 1)
 		r.Do(func() {
-			if !r.core.Leads() {
-				lead := r.core.Addr(r.core.Leader())
+			if !r.replica.Leads() {
+				lead := r.replica.LeaderAddress()
 				if lead == "" {
 					got <- told{err: control.Fault(http.StatusServiceUnavailable, "no leader is known")}
 					return
@@ -124,13 +81,12 @@
 func (r *Register) fetch(ctx context.Context) (patch.Set, error) {
 	got := make(chan *patch.Set, 1)
 	r.Do(func() {
-		r.confirmed(func(ok bool) {
+		r.replica.Fetch(r.now(), func(set patch.Set, ok bool) {
 			if !ok {
 				got <- nil
 				return
 			}
-			s := r.state.items.Layout()
-			got <- &s
+			got <- &set
 		})
 	})
 	select {
--- a/internal/exchange/register/inspect.go
+++ b/internal/exchange/register/inspect.go
@@ -9,6 +9,7 @@
 	"hollyspur/internal/exchange/core"
 	"hollyspur/internal/exchange/patch"
 	"hollyspur/internal/exchange/vault"
+	"hollyspur/internal/mesh/replica"
 )
 
 // Holding is what a data folder holds, with all of its log applied, committed or not.
@@ -40,8 +41,8 @@
 	if err != nil || h.Empty {
 		return h, err
 	}
-	h.Keys = s.tickets.Len()
-	for _, i := range s.items.Items() {
+	h.Keys = s.Keys.Len()
+	for _, i := range s.Items.Items() {
 		h.Items = append(h.Items, Holds{i.Kind.String(), i.Name.Name, i.Version, i.Dropped})
 	}
 	return h, nil
@@ -57,17 +58,17 @@
 	if h.Empty {
 		return patch.Modify{}, errors.Errorf("%s holds nothing", dir)
 	}
-	l := s.items.Layout()
+	l := s.Items.Layout()
 	return patch.Modify{Upsert: &l}, nil
 }
 
-func read(dir string) (s state, h Holding, err error) {
+func read(dir string) (s replica.State, h Holding, err error) {
 	held, empty, err := vault.OpenReadOnly(dir)
 	h.Format, h.Empty = vault.Format, empty
 	if err != nil || empty {
 		return s, h, err
 	}
-	if err := s.load(held.Snapshot.Data); err != nil {
+	if err := s.Load(held.Snapshot.Data); err != nil {
 		return s, h, err
 	}
 	h.Members = held.Snapshot.Members
@@ -76,7 +77,7 @@
 			h.Members = e.Members
 		}
 		if e.Kind == core.Change {
-			s.apply(e)
+			s.Apply(e)
 		}
 	}
 	h.Self, h.Term, h.Vote = held.Self, held.Hard.Term, held.Hard.Vote
--- a/internal/exchange/register/links.go
+++ b/internal/exchange/register/links.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"net/http"
 	"sync"
 	"time"
@@ -11,10 +10,10 @@
 
 	"hollyspur/internal/exchange/core"
 	"hollyspur/internal/exchange/directory"
-	"hollyspur/internal/exchange/ticket"
 	"hollyspur/internal/exchange/trunk"
 	"hollyspur/internal/exchange/trunk/wire"
 	"hollyspur/internal/exchange/vault"
+	"hollyspur/internal/mesh/replica"
 )
 
 // link is a trunk to another register, dialled when there is something to say and kept.
@@ -81,7 +80,7 @@
 	}
 	c.Open(1)
 	// What it may have missed.
-	r.Do(func() { c.Send(directory.Wire(r.dir.All())) })
+	r.Do(func() { c.Send(directory.Wire(r.replica.Records().All())) })
 	for {
 		m, err := c.Receive()
 		if err != nil {
@@ -119,32 +118,6 @@
 	return l.r.asks.Ask(ctx, c, kind, body)
 }
 
-// leader is the link to the leader; nil: there is none, or it is this one.
-func (r *Register) leader() *link {
-	if r.core.Leads() {
-		return nil
-	}
-	if a := r.core.Addr(r.core.Leader()); a != "" && a != r.self.Addr {
-		return r.link(a)
-	}
-	return nil
-}
-
-func (r *Register) sendAll(l []core.Message) {
-	for _, m := range l {
-		addr := r.core.Addr(m.To)
-		if m.Kind == core.NotMember && m.Addr != "" {
-			addr = m.Addr
-		}
-		if addr == "" {
-			addr = r.addrs[m.To]
-		}
-		if addr != "" && addr != r.self.Addr {
-			r.link(addr).send(vault.WireMessage(m))
-		}
-	}
-}
-
 // accept takes trunks of registers and lines.
 func (r *Register) accept() {
 	for {
@@ -170,8 +143,7 @@
 // beat is made on the connections' goroutines. A register whose own goroutine hangs, on a disk for one, is in touch with
 // nobody.
 func (r *Register) beat() *wire.BeatT {
-	at := time.Duration(r.touch.Load())
-	return &wire.BeatT{Touch: at > 0 && r.now()-at < stuck}
+	return &wire.BeatT{Touch: replica.InTouch(time.Duration(r.touch.Load()), r.now())}
 }
 
 func (r *Register) serve(c *trunk.Conn) {
@@ -179,12 +151,11 @@
 	r.Do(func() {
 		if line {
 			r.lines[c] = true
-			c.Send(r.members())
-			c.Send(directory.Wire(r.dir.All()))
-			c.Send(r.state.night.outs())
+			for _, message := range r.replica.Greeting() {
+				c.Send(message)
+			}
 		} else {
-			r.known[c.Peer.Addr] = true
-			r.remember(core.ID(c.Peer.Member), c.Peer.Addr)
+			r.replica.Remember(core.ID(c.Peer.Member), c.Peer.Addr)
 		}
 	})
 	defer r.Do(func() { delete(r.lines, c) })
@@ -196,7 +167,7 @@
 		switch v := m.Value.(type) {
 		case *wire.VoteT:
 			if x, err := vault.MessageOf(v); err == nil && !line {
-				r.Do(func() { r.core.Step(r.now(), x) })
+				r.Do(func() { r.replica.Step(r.now(), x) })
 			}
 		case *wire.RecordsT:
 			r.Do(func() { r.takeRecords(directory.Of(v), c, line) })
@@ -213,102 +184,19 @@
 	}
 }
 
-// remember keeps where a register that is no member listens, so that it can be told so.
-func (r *Register) remember(id core.ID, addr string) {
-	if len(r.addrs) > 64 {
-		r.addrs = nil
-	}
-	if r.addrs == nil {
-		r.addrs = map[core.ID]string{}
+// takeRecords merges records that a line told, or another register.
+func (r *Register) takeRecords(l []directory.Record, from *trunk.Conn, direct bool) {
+	for _, held := range r.replica.TakeRecords(r.now(), l, direct) {
+		from.Send(directory.Wire([]directory.Record{held}))
 	}
-	r.addrs[id] = addr
 }
 
 // answer answers a call of a line or a register.
 func (r *Register) answer(c *trunk.Conn, a *wire.AskT, line bool) {
-	tell := func(status int, body []byte) { c.Send(&wire.ToldT{Id: a.Id, Status: uint16(status), Body: body}) }
-	switch a.Kind {
-	case trunk.AskModify:
-		if !r.core.Leads() {
-			tell(http.StatusServiceUnavailable, []byte("not the leader"))
-			return
-		}
-		r.modify(a.Body, func(status int, text string) { tell(status, []byte(text)) })
-	case trunk.AskRead:
-		if !r.core.Leads() {
-			tell(http.StatusServiceUnavailable, nil)
-			return
-		}
-		r.confirm(func(index uint64, ok bool) {
-			if !ok {
-				tell(http.StatusServiceUnavailable, nil)
-				return
-			}
-			tell(http.StatusOK, binary.BigEndian.AppendUint64(nil, index))
-		})
-	case trunk.AskTable:
-		r.confirmed(func(ok bool) {
-			if !ok {
-				tell(http.StatusServiceUnavailable, nil)
-				return
-			}
-			c.Send(r.state.night.outs()) // before the line is ready
-			tell(http.StatusOK, trunk.Bytes(r.table()))
-		})
-	case trunk.AskBound:
-		r.confirmed(func(ok bool) {
-			if !ok {
-				tell(http.StatusServiceUnavailable, nil)
-				return
-			}
-			tell(http.StatusOK, trunk.Bytes(r.state.rules.bound()))
-		})
-	case trunk.AskClaims:
-		r.claim(a.Body, line, tell)
-	default:
-		tell(http.StatusNotFound, nil)
-	}
-}
-
-// claim has claims on keys agreed on, at the leader.
-func (r *Register) claim(body []byte, forward bool, tell func(status int, body []byte)) {
-	if !r.core.Leads() {
-		l := r.leader()
-		if !forward || l == nil {
-			tell(http.StatusServiceUnavailable, nil)
-			return
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(r.ctx, answerWithin)
-			defer cancel()
-			if t, err := l.ask(ctx, trunk.AskClaims, body); err == nil {
-				tell(int(t.Status), t.Body)
-			} else {
-				tell(http.StatusServiceUnavailable, nil)
-			}
-		}()
-		return
-	}
-	if _, err := trunk.Parse(body, func(p []byte) *wire.ClaimsT { return wire.GetRootAsClaims(p, 0).UnPack() }); err != nil {
-		tell(http.StatusBadRequest, nil)
-		return
-	}
-	ok := r.propose(append([]byte{changeClaims}, body...), func(o outcome, known bool) {
-		if !known || o.err != nil {
-			tell(http.StatusServiceUnavailable, nil)
-			return
+	r.replica.Answer(r.now(), a.Kind, a.Body, line, func(reply replica.Reply) {
+		if reply.Push != nil {
+			c.Send(reply.Push)
 		}
-		tell(http.StatusOK, trunk.Bytes(wireGrants(o.grants)))
+		c.Send(&wire.ToldT{Id: a.Id, Status: uint16(reply.Status), Body: reply.Body})
 	})
-	if !ok {
-		tell(http.StatusServiceUnavailable, nil)
-	}
-}
-
-func wireGrants(l []ticket.Grant) *wire.GrantsT {
-	t := &wire.GrantsT{}
-	for _, g := range l {
-		t.List = append(t.List, &wire.GrantT{Granted: g.Granted, Holder: g.Held.Holder, Ticket: g.Held.Ticket})
-	}
-	return t
 }
--- a/internal/exchange/register/night.go
+++ b/internal/exchange/register/night.go
@@ -12,13 +12,13 @@
 	"time"
 
 	"hollyspur/internal/exchange/control"
-	"hollyspur/internal/exchange/core"
 	"hollyspur/internal/exchange/dialplan"
 	"hollyspur/internal/exchange/directory"
 	"hollyspur/internal/exchange/night"
 	"hollyspur/internal/exchange/patch"
 	"hollyspur/internal/exchange/trunk"
 	"hollyspur/internal/exchange/trunk/wire"
+	"hollyspur/internal/mesh/replica"
 )
 
 // Times of the night service. Nothing of it runs where there are neither contracts nor orders.
@@ -32,93 +32,6 @@
 	warmUp       = 3 * time.Second
 )
 
-// Kinds of changes of the night service's state, and of calls on it.
-const (
-	nightPlace byte = iota + 1
-	nightWord
-	nightTime
-	nightPlan // a call only
-	nightList // the same
-)
-
-// gap is for how long nobody led since the last agreed time, as this register knows from its own steady clock: log time
-// stands still then.
-type gap struct {
-	is    time.Duration // night.GapUnknown: it did not live through it
-	term  uint64        // of the latest entry
-	stamp time.Duration // the same
-	at    time.Duration // when that was applied; 0: none was
-}
-
-// entry notes an entry that is applied; agreed: it holds a new agreed time.
-func (g *gap) entry(e core.Entry, now time.Duration, agreed bool) {
-	switch {
-	case g.at == 0:
-		g.is = night.GapUnknown
-	case e.Term != g.term && g.is >= 0:
-		g.is += max(0, (now-g.at)-(e.Stamp-g.stamp))
-	}
-	g.term, g.stamp, g.at = e.Term, e.Stamp, max(1, now)
-	if agreed {
-		g.is = 0
-	}
-}
-
-// nightState is what of the night service is agreed on.
-type nightState struct {
-	Book  night.Book  `json:"book"`
-	Clock night.Clock `json:"clock"`
-	Term  uint64      `json:"term"` // of the leader whose entry the clock is of
-	Index uint64      `json:"index"`
-}
-
-// apply takes a committed change.
-func (n *nightState) apply(e core.Entry, kind byte, text []byte) error {
-	now := n.Clock.Now(e.Stamp)
-	switch kind {
-	case nightPlace:
-		var o night.Order
-		if err := json.Unmarshal(text, &o); err != nil {
-			return err
-		}
-		b, err := n.Book.Place(o, now)
-		if err != nil {
-			return err
-		}
-		n.Book = b
-	case nightWord:
-		var c night.Change
-		if err := json.Unmarshal(text, &c); err != nil {
-			return err
-		}
-		b, err := n.Book.Apply(c, now)
-		if err != nil {
-			return err
-		}
-		n.Book = b
-	case nightTime:
-		var c night.Clock
-		if err := json.Unmarshal(text, &c); err != nil {
-			return err
-		}
-		n.Clock, n.Term = c, e.Term
-		return nil
-	}
-	n.Index = e.Index
-	return nil
-}
-
-// outs are the machines that orders have out, for lines and registers.
-func (n *nightState) outs() *wire.OutsT {
-	t := &wire.OutsT{Index: n.Index}
-	for _, o := range n.Book.Open() {
-		if o.Step.Holds() {
-			t.List = append(t.List, &wire.OutT{Addr: o.Machine(), Order: o.ID, Leading: o.Step != night.Draining, Heir: o.Heir})
-		}
-	}
-	return t
-}
-
 // board is the leader's side of the night service: what it last saw of the mesh. It belongs to Run's goroutine.
 type board struct {
 	at      time.Duration // of the last survey
@@ -179,7 +92,7 @@
 
 // contracts are those that stand.
 func (r *Register) contracts() (l []night.Contract) {
-	for _, i := range r.state.items.Items() {
+	for _, i := range r.replica.State().Items.Items() {
 		if i.Kind == patch.Contract && !i.Dropped {
 			var c night.Contract
 			if json.Unmarshal(i.Body, &c) == nil {
@@ -192,19 +105,14 @@
 
 // keepNight sees to orders and to the agreed time, at the leader.
 func (r *Register) keepNight(now time.Duration) {
-	out := slices.ContainsFunc(r.state.night.outs().List, func(o *wire.OutT) bool { return o.Addr == r.self.Addr })
-	r.held.Store(out)
-	open := r.state.night.Book.Open()
-	if !r.core.Leads() {
+	open := r.replica.State().Maintenance.Book.Open()
+	if !r.replica.Leads() {
 		r.board.close()
 		return
 	}
 	r.placeStanding(now)
-	if out {
-		r.core.Yield(now)
-	}
 	if len(open) == 0 && (len(r.contractsAt()) == 0 || now-r.board.clocked < clockEvery) {
-		if len(open) == 0 && !r.state.rules.Board.Pending() {
+		if len(open) == 0 && !r.replica.State().Rules.Board.Pending() {
 			r.board.callers.close()
 		}
 		return
@@ -220,7 +128,7 @@
 
 // contractsAt is contracts, read anew only where an item has changed since.
 func (r *Register) contractsAt() []night.Contract {
-	if at := r.state.changed; at != r.contractsOf {
+	if at := r.replica.State().ItemsChanged; at != r.contractsOf {
 		r.contractsOf, r.contractsNow = at, r.contracts()
 	}
 	return r.contractsNow
@@ -237,10 +145,10 @@
 	b := &r.board
 	b.asking, b.at = true, r.now()
 	var addrs []string
-	for _, l := range r.dir.All() {
+	for _, l := range r.replica.Records().All() {
 		addrs = append(addrs, l.Addr)
 	}
-	members, _ := r.core.Members()
+	members, _ := r.replica.Members()
 	ids := map[string]uint64{}
 	for _, m := range members {
 		ids[m.Addr] = uint64(m.ID)
@@ -290,26 +198,26 @@
 // agreeTime proposes the time of day that the registers agree on.
 func (r *Register) agreeTime() {
 	now := r.now()
-	n := &r.state.night
-	if !r.core.Leads() || r.board.clocked > 0 && now-r.board.clocked < clockEvery && n.Term == r.core.Term() {
+	n := &r.replica.State().Maintenance
+	if !r.replica.Leads() || r.board.clocked > 0 && now-r.board.clocked < clockEvery && n.Term == r.replica.Term() {
 		return
 	}
-	members, _ := r.core.Members()
-	gap := r.gap.is
-	if n.Term == r.core.Term() {
+	members, _ := r.replica.Members()
+	gap := r.replica.LeaderlessFor()
+	if n.Term == r.replica.Term() {
 		gap = 0
 	}
 	held := n.Clock
 	if r.board.trust {
 		held = night.Clock{}
 	}
-	c, err := held.Agree(r.core.Stamp(now), r.board.samples, now, len(members), gap)
+	c, err := held.Agree(r.replica.Stamp(now), r.board.samples, now, len(members), gap)
 	if err != nil {
 		r.log.Info().Err(err).Msg("night")
 		return
 	}
 	r.board.clocked, r.board.trust = now, false
-	r.proposeNight(nightTime, c, nil)
+	r.proposeNight(replica.MaintenanceTime, c, nil)
 }
 
 func (r *Register) proposeNight(kind byte, v any, done func(error)) {
@@ -321,11 +229,11 @@
 		done(err)
 		return
 	}
-	if !r.propose(change(changeNight, &wire.NightT{Kind: kind, Text: text}), func(o outcome, known bool) {
+	if !r.replica.Propose(r.now(), replica.Change(replica.ChangeMaintenance, &wire.NightT{Kind: kind, Text: text}), func(o replica.Outcome, known bool) {
 		if !known {
-			o.err = control.Fault(http.StatusServiceUnavailable, "another leader took over; it may still be taken")
+			o.Err = control.Fault(http.StatusServiceUnavailable, "another leader took over; it may still be taken")
 		}
-		done(o.err)
+		done(o.Err)
 	}) {
 		done(control.Fault(http.StatusServiceUnavailable, "not the leader any more"))
 	}
@@ -333,8 +241,8 @@
 
 // time is what time it may be; false: nothing is agreed on in this term.
 func (r *Register) time() (night.Now, bool) {
-	n := &r.state.night
-	return n.Clock.Now(r.core.Stamp(r.now())), n.Clock.Known() && n.Term == r.core.Term()
+	n := &r.replica.State().Maintenance
+	return n.Clock.Now(r.replica.Stamp(r.now())), n.Clock.Known() && n.Term == r.replica.Term()
 }
 
 // view is the mesh as the night service sees it, without what an order itself has out.
@@ -342,8 +250,8 @@
 	set := r.set.Load()
 	v := night.View{Contracts: r.contractsAt(), Load: map[string]float64{}, Terms: night.Terms{DrainWithin: set.Bounds.DrainS.D(), Download: longDownload, Warm: warmUp,
 		Margin: nightMargin, Tolerance: set.FaultTolerance.Machines}}
-	spaces := patch.Marks(patch.Table{}, r.state.items)
-	for _, l := range r.dir.All() {
+	spaces := patch.Marks(patch.Table{}, r.replica.State().Items)
+	for _, l := range r.replica.Records().All() {
 		s := r.board.status[l.Addr]
 		v.Machines = append(v.Machines, night.Machine{Addr: l.Addr, Name: l.Node, Zone: l.Zone, Service: l.Service, Namespaces: spaces.OwnersOfService(l.Service), Slots: int(l.Slots),
 			Ready: l.State == directory.Ready && !l.Gone && s != nil && s.Ready})
@@ -351,21 +259,21 @@
 			v.Load[l.Service] += float64(s.Open)
 		}
 	}
-	members, _ := r.core.Members()
+	members, _ := r.replica.Members()
 	for _, m := range members {
-		x := night.Machine{Addr: m.Addr, Name: m.Addr, Register: true, Ready: r.core.Hears(m.ID)}
+		x := night.Machine{Addr: m.Addr, Name: m.Addr, Register: true, Ready: r.replica.Hears(m.ID)}
 		if s := r.board.status[m.Addr]; s != nil {
 			x.Name, x.Zone = s.Name, s.Zone
 			x.Ready = x.Ready && s.Trouble == ""
 		}
 		v.Machines = append(v.Machines, x)
 	}
-	for _, o := range r.state.night.Book.Open() {
+	for _, o := range r.replica.State().Maintenance.Book.Open() {
 		if o.Step != night.Waiting && o.ID != but {
 			v.Out = append(v.Out, o.Machine())
 		}
 	}
-	for _, x := range dialplan.Make(r.state.items).Routes() {
+	for _, x := range dialplan.Make(r.replica.State().Items).Routes() {
 		route := night.Route{Name: x.Name, Timeout: x.Timeout, Download: x.Kind == dialplan.Download}
 		for _, s := range x.Split {
 			route.Services = append(route.Services, s.Service)
@@ -388,10 +296,10 @@
 	if s.Register {
 		x.Ready = !s.Held && s.Touch && !s.Outside
 	} else {
-		l, _ := r.dir.Get(addr)
+		l, _ := r.replica.Records().Get(addr)
 		x.Ready = !s.Held && s.Ready && (s.Server == "" || l.State == directory.Ready)
 		var waits []string
-		for _, l := range r.dir.All() {
+		for _, l := range r.replica.Records().All() {
 			if l.Addr == addr {
 				continue
 			}
@@ -400,7 +308,7 @@
 			case y == nil && r.now()-b.heard[l.Addr] > goneAfter: // the machine itself turns away what such a one sends
 			case y == nil:
 				waits = append(waits, l.Node+" does not answer")
-			case y.Outs < r.state.night.Index:
+			case y.Outs < r.replica.State().Maintenance.Index:
 				waits = append(waits, l.Node+" has not heard of it")
 			case slices.Contains(y.Sends, addr):
 				waits = append(waits, l.Node+" still has requests there")
@@ -451,13 +359,13 @@
 // advance takes each open order one step further, if it can go.
 func (r *Register) advance() {
 	b := &r.board
-	if !r.core.Current() || b.pending > 0 {
+	if !r.replica.Current() || b.pending > 0 {
 		return
 	}
 	now, known := r.time()
 	b.waits = map[string]string{}
 	begins := false // one machine at a time begins to come out: the next plan has to know of it
-	for _, o := range r.state.night.Book.Open() {
+	for _, o := range r.replica.State().Maintenance.Book.Open() {
 		if !known {
 			b.waits[o.ID] = night.ErrNoTime.Error()
 			continue
@@ -477,7 +385,7 @@
 		r.log.Info().Str("order", o.ID).Str("machine", o.Machine()).Str("step", string(c.Step)).Msg(c.Text)
 		b.pending++
 		lead := b.lead
-		r.proposeNight(nightWord, c, func(error) {
+		r.proposeNight(replica.MaintenanceWord, c, func(error) {
 			if b.lead == lead {
 				b.pending--
 			}
--- a/internal/exchange/register/nightcalls.go
+++ b/internal/exchange/register/nightcalls.go
@@ -13,6 +13,7 @@
 	"hollyspur/internal/exchange/control"
 	"hollyspur/internal/exchange/night"
 	"hollyspur/internal/exchange/patch"
+	"hollyspur/internal/mesh/replica"
 )
 
 // NightCall is an operator's call: a plan for a machine, an order, or a word on one. What it does not name is left out.
@@ -40,7 +41,7 @@
 
 // named is a machine's trunk, by its name or by that.
 func (r *Register) named(name string) string {
-	for _, l := range r.dir.All() {
+	for _, l := range r.replica.Records().All() {
 		if l.Node == name {
 			return l.Addr
 		}
@@ -55,7 +56,7 @@
 
 // nameOf is a machine's name, by its trunk; that, if it is not known.
 func (r *Register) nameOf(addr string) string {
-	if l, is := r.dir.Get(addr); is {
+	if l, is := r.replica.Records().Get(addr); is {
 		return l.Node
 	}
 	if s := r.board.status[addr]; s != nil {
@@ -66,7 +67,7 @@
 
 // takeNight answers a call, at the leader.
 func (r *Register) takeNight(call NightCall, done func(NightTold, error)) {
-	if !r.core.Leads() {
+	if !r.replica.Leads() {
 		done(NightTold{}, control.Fault(http.StatusServiceUnavailable, "not the leader any more"))
 		return
 	}
@@ -79,7 +80,7 @@
 		call.Machines[i] = r.named(m)
 	}
 	answer := func(err error) {
-		t := NightTold{Doubt: r.state.night.Clock.Doubt, Orders: r.state.night.Book.Orders, Waits: r.board.waits, Leader: r.self.Addr}
+		t := NightTold{Doubt: r.replica.State().Maintenance.Clock.Doubt, Orders: r.replica.State().Maintenance.Book.Orders, Waits: r.board.waits, Leader: r.self.Addr}
 		t.Now, t.Known = r.time()
 		if call.Machine != "" {
 			d := r.view("").Plan(call.Machine, time.Duration(call.LengthS*float64(time.Second)), t.Now)
@@ -125,18 +126,18 @@
 				return
 			}
 		}
-		r.proposeNight(nightPlace, o, answer)
+		r.proposeNight(replica.MaintenancePlace, o, answer)
 	case call.Word != nil:
 		if by := call.Word.Approve; by != "" {
-			o, _ := r.state.night.Book.Find(call.Word.ID)
+			o, _ := r.replica.State().Maintenance.Book.Find(call.Word.ID)
 			if err := r.mayApprove(o, by); err != nil {
 				answer(err)
 				return
 			}
 		}
-		r.proposeNight(nightWord, call.Word, answer)
+		r.proposeNight(replica.MaintenanceWord, call.Word, answer)
 	default:
-		r.confirm(func(_ uint64, ok bool) { // so that it is the leader's word, and not that of one that was it
+		r.replica.Confirm(r.now(), func(_ uint64, ok bool) { // so that it is the leader's word, and not that of one that was it
 			if !ok {
 				done(NightTold{}, control.Fault(http.StatusServiceUnavailable, "the core could not confirm it in time"))
 				return
@@ -198,13 +199,13 @@
 // under one id is one.
 func (r *Register) placeStanding(now time.Duration) {
 	s := r.standing
-	if s == nil || r.state.items.Len() == 0 {
+	if s == nil || r.replica.State().Items.Len() == 0 {
 		return
 	}
 	if s.since == 0 {
 		s.since = now
 		items, _ := patch.Read(s.Contracts)
-		r.propose(change(changeItems, patch.Wire(items)), func(outcome, bool) {})
+		r.replica.Propose(r.now(), replica.Change(replica.ChangeItems, patch.Wire(items)), func(replica.Outcome, bool) {})
 		return
 	}
 	if s.placed >= len(s.Orders) || now-s.since < time.Duration(s.Orders[s.placed].AfterS*float64(time.Second)) || r.board.asking {
@@ -220,5 +221,5 @@
 	for i, m := range o.Machines {
 		o.Machines[i] = r.named(m)
 	}
-	r.proposeNight(nightPlace, o, func(err error) { r.log.Info().Err(err).Str("order", o.ID).Msg("standing order") })
+	r.proposeNight(replica.MaintenancePlace, o, func(err error) { r.log.Info().Err(err).Str("order", o.ID).Msg("standing order") })
 }
--- a/internal/exchange/register/register.go
+++ b/internal/exchange/register/register.go
@@ -1,16 +1,14 @@
-// Package register puts a register together: the vault, the core with its state, trunks to the other registers and from
-// lines, and the calls of operators. One goroutine, that of Run, owns the core, the state, the vault and all tables; others
-// post to it. It decides nothing that core, patch, ticket or directory decide.
+// Package register is the shell of a control-plane replica (internal/mesh/replica, which decides): the vault, trunks to the
+// other registers and from lines, the calls of operators and the survey of the mesh for maintenance and rules. One goroutine,
+// that of Run, owns the replica and the vault; others post to it.
 package register
 
 import (
 	"context"
 	crand "crypto/rand"
 	"encoding/binary"
-	"hash/fnv"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,32 +17,20 @@
 	"github.com/rs/zerolog"
 
 	"hollyspur/internal/exchange/core"
-	"hollyspur/internal/exchange/directory"
 	"hollyspur/internal/exchange/howler"
 	"hollyspur/internal/exchange/night"
-	"hollyspur/internal/exchange/patch"
 	"hollyspur/internal/exchange/settings"
 	"hollyspur/internal/exchange/trunk"
-	"hollyspur/internal/exchange/trunk/wire"
 	"hollyspur/internal/exchange/vault"
+	"hollyspur/internal/mesh/replica"
 )
 
-// Times of a register.
+// Times and bounds of a register's shell.
 const (
-	beatEvery     = 100 * time.Millisecond
-	election      = 500 * time.Millisecond
-	dead          = 2 * time.Second
-	tick          = 50 * time.Millisecond
-	stuck         = 300 * time.Millisecond // without a tick
-	yieldFor      = 400 * time.Millisecond // of a register that is to end
-	compactAt     = 4096                   // entries behind the snapshot
-	answerWithin  = 900 * time.Millisecond // callers move on after a second
-	vaultRest     = 100 * time.Millisecond
-	lineSilence   = 30 * time.Second // after which a line's record is dropped
-	expireEvery   = 5 * time.Second
-	mostBody      = 4 << 20 // bytes of an operator's call
-	mostPerTurn   = 256
-	proposalsMost = 4096
+	yieldFor    = 400 * time.Millisecond // of a register that is to end
+	vaultRest   = 100 * time.Millisecond
+	mostBody    = 4 << 20 // bytes of an operator's call
+	mostPerTurn = 256
 )
 
 // Register is one register.
@@ -66,45 +52,21 @@
 	links map[string]*link // to other registers, by address
 
 	// Owned by Run's goroutine.
-	self      core.Member
-	vault     *vault.Vault
-	core      *core.Core
-	state     state
-	logged    uint64               // last entry on disk
-	lines     map[*trunk.Conn]bool // of lines, and of whoever else looks
-	dir       directory.Table
-	proposals map[uint64]proposal
-	reads     map[uint64]func(index uint64, ok bool)
-	nextRead  uint64
-	waiting   []waiting // for the state to come up to an entry
-	expired   time.Duration
-	known     map[string]bool // trunks of registers that were heard of
-	addrs     map[core.ID]string
-	led       core.ID
-	told      uint64                 // view that links were made for
-	trouble   atomic.Pointer[string] // that its disk is in; nil: none
-	ring      *howler.Howler
-	board     board
-	held      atomic.Bool // an order for maintenance has this register out
+	self    core.Member
+	vault   *vault.Vault
+	replica *replica.Replica
+	lines   map[*trunk.Conn]bool   // of lines, and of whoever else looks
+	trouble atomic.Pointer[string] // that its disk is in; nil: none
+	ring    *howler.Howler
+	board   board
 	// contractsNow are the contracts as of the change contractsOf
 	contractsNow []night.Contract
 	contractsOf  uint64
 	standing     *standing
 	binding      binding
-	gap          gap
 	ahead        time.Duration
 }
 
-type proposal struct {
-	term uint64
-	done func(outcome, bool)
-}
-
-type waiting struct {
-	index uint64
-	then  func()
-}
-
 // New opens the vault and listens.
 // New's standing names a file of contracts and orders that are to be placed once there is a configuration; "": none.
 func New(set settings.Settings, log zerolog.Logger, ring *howler.Howler, standing string) (_ *Register, err error) {
@@ -112,7 +74,7 @@
 		return nil, errors.New("settings: DataDir is empty; a register needs a disk")
 	}
 	r := &Register{log: log, ring: ring, start: time.Now(), events: make(chan func(), 1024), done: make(chan struct{}), links: map[string]*link{},
-		lines: map[*trunk.Conn]bool{}, proposals: map[uint64]proposal{}, reads: map[uint64]func(uint64, bool){}, known: map[string]bool{}}
+		lines: map[*trunk.Conn]bool{}}
 	r.set.Store(&set)
 	if r.standing, err = readStanding(standing); err != nil {
 		return nil, errors.Annotate(err, standing)
@@ -130,13 +92,6 @@
 	return r, nil
 }
 
-// founderID is the id of a register that the first seeds name: all of them have to know it before they have met.
-func founderID(addr string) core.ID {
-	h := fnv.New64a()
-	h.Write([]byte("founder " + addr))
-	return core.ID(h.Sum64() | 1)
-}
-
 func newID() core.ID {
 	var p [8]byte
 	crand.Read(p[:])
@@ -160,16 +115,7 @@
 	}
 	r.vault = v
 	if empty {
-		held = vault.Held{Self: newID()}
-		seeds := set.Seeds()
-		if set.FirstStart && !damaged && slices.Contains(seeds, r.self.Addr) {
-			held.Self = founderID(r.self.Addr)
-			var members []core.Member
-			for _, a := range seeds {
-				members = append(members, core.Member{ID: founderID(a), Addr: a})
-			}
-			held.Snapshot = core.Found(members)
-		}
+		held = replica.Beginning{Address: r.self.Addr, Seeds: set.Seeds(), FirstStart: set.FirstStart, Damaged: damaged, NewID: newID()}.Held()
 		for {
 			if err = v.Begin(held.Self, held.Snapshot); err == nil {
 				break
@@ -180,14 +126,12 @@
 		}
 	}
 	r.self.ID = held.Self
-	if err := r.state.load(held.Snapshot.Data); err != nil {
+	r.replica, err = replica.New(replica.Config{Address: r.self.Addr, Held: held, Seeds: set.Seeds(), FaultsTolerated: set.FaultTolerance.Machines,
+		RandomSeed: uint64(held.Self) ^ uint64(time.Now().UnixNano()), Log: r.log}, environment{r}, r.now())
+	if err != nil {
 		return err
 	}
-	size := max(3, 2*set.FaultTolerance.Machines+1)
-	r.core = core.New(core.Config{Self: r.self, Hard: held.Hard, Snapshot: held.Snapshot, Log: held.Log, Size: size,
-		Beat: beatEvery, Election: election, Dead: dead, Seed: uint64(held.Self) ^ uint64(time.Now().UnixNano())}, r.now())
-	r.logged = held.Snapshot.Index + uint64(len(held.Log))
-	r.log.Info().Uint64("id", uint64(held.Self)).Uint64("log", r.logged).Bool("empty", empty).Msg("vault open")
+	r.log.Info().Uint64("id", uint64(held.Self)).Uint64("log", r.replica.Logged()).Bool("empty", empty).Msg("vault open")
 	return nil
 }
 
@@ -222,7 +166,7 @@
 	r.server = r.handlers()
 	go r.server.Serve(r.calls)
 	go r.accept()
-	ticker := time.NewTicker(tick)
+	ticker := time.NewTicker(replica.TickInterval)
 	defer ticker.Stop()
 	var over <-chan time.Time // of the time in which another leader takes over, and what was taken is answered
 	for {
@@ -239,11 +183,10 @@
 				break
 			}
 		case <-ticker.C:
-			r.core.Tick(r.now())
-			r.tend()
+			r.tick()
 		case <-ctx.Done():
 			if over == nil {
-				r.core.Yield(r.now())
+				r.replica.Leave(r.now())
 				over = time.After(yieldFor)
 				ctx = context.Background()
 			}
@@ -251,7 +194,10 @@
 			r.stop()
 			return nil
 		}
-		r.turn()
+		if !r.replica.Turn() { // the disk takes nothing, and the process is to end: nothing more can be said
+			r.stop()
+			return nil
+		}
 	}
 }
 
@@ -265,96 +211,12 @@
 	r.vault.Close()
 }
 
-// tend sees to what time does to the tables.
-func (r *Register) tend() {
+// tick lets time pass.
+func (r *Register) tick() {
 	now := r.now()
+	r.replica.SetSeeds(r.set.Load().Seeds())
+	r.replica.Tick(now)
+	r.touch.Store(int64(r.replica.Touched()))
 	r.keepNight(now)
 	r.keepRules(now)
-	if r.core.InTouch(now) && !r.core.Outside() && !r.held.Load() {
-		r.touch.Store(int64(max(1, now)))
-	} else {
-		r.touch.Store(0)
-	}
-	if lead := r.core.Leader(); lead != r.led {
-		r.led = lead
-		r.log.Info().Uint64("leader", uint64(lead)).Str("addr", r.core.Addr(lead)).Uint64("term", r.core.Term()).Uint64("applied", r.core.Applied()).Msg("leader")
-	}
-	members, view := r.core.Members()
-	if view != r.told {
-		r.told = view
-		clear(r.known) // those that were let go say so when they come back
-		var addrs []string
-		for _, m := range members {
-			r.known[m.Addr] = true
-			addrs = append(addrs, m.Addr)
-		}
-		r.log.Info().Uint64("view", view).Int("members", len(members)).Strs("addrs", addrs).Msg("members")
-		r.tellLines(trunk.Encode(r.members()))
-	}
-	for _, a := range r.set.Load().Seeds() {
-		r.known[a] = true
-	}
-	delete(r.known, r.self.Addr)
-	for a := range r.known { // also where the core has nothing to say: lines' records go by it
-		r.link(a).conn()
-	}
-	if r.core.Outside() {
-		for a := range r.known { // it may know nobody but by address
-			r.link(a).send(&wire.VoteT{Kind: byte(core.Join), From: uint64(r.self.ID), Addr: r.self.Addr, Version: core.Version})
-		}
-	}
-	if now-r.expired > expireEvery && r.core.InTouch(now) {
-		r.expired = now
-		r.dir, _ = r.dir.Expire(now, lineSilence)
-	}
-}
-
-// members are the trunks of the registers, for lines.
-func (r *Register) members() *wire.MembersT {
-	l, view := r.core.Members()
-	return &wire.MembersT{List: vault.WireMembers(l), Index: view}
-}
-
-// tellLines sends a frame to every line.
-func (r *Register) tellLines(frame []byte) {
-	for c := range r.lines {
-		c.SendFrame(frame)
-	}
-}
-
-// takeRecords merges records that a line told, or another register.
-func (r *Register) takeRecords(l []directory.Record, from *trunk.Conn, direct bool) {
-	var news []directory.Record
-	r.dir, news = r.dir.Merge(r.now(), l)
-	if direct && from != nil { // one that started with a clock set back learns that a later life of it is known
-		for _, x := range l {
-			if held, is := r.dir.Get(x.Addr); is && held.Life > x.Life {
-				from.Send(directory.Wire([]directory.Record{held}))
-			}
-		}
-	}
-	if len(news) == 0 {
-		return
-	}
-	frame := trunk.Encode(directory.Wire(news))
-	r.tellLines(frame)
-	if direct {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		for _, l := range r.links {
-			l.sendFrame(frame)
-		}
-	}
-}
-
-// table is all items, worded.
-func (r *Register) table() *wire.ItemsT {
-	t := patch.Wire(r.state.items.Items())
-	t.Whole, t.Index = true, r.core.Applied()
-	b := r.state.rules.Board
-	t.Print, t.BoundAt = b.Bound, b.BoundAt
-	if b.Pending() { // else those that bind are among the items
-		t.Bound = patch.Wire(r.state.bound.Items()).List
-	}
-	return t
 }
--- a/internal/exchange/register/rules.go
+++ b/internal/exchange/register/rules.go
@@ -6,46 +6,13 @@
 
 	"hollyspur/internal/exchange/classmark"
 	"hollyspur/internal/exchange/control"
-	"hollyspur/internal/exchange/core"
 	"hollyspur/internal/exchange/patch"
 	"hollyspur/internal/exchange/trunk/wire"
+	"hollyspur/internal/mesh/replica"
 )
 
-// mostNotices are kept, the latest.
-const mostNotices = 256
-
 // Notice tells an owner what another's change did to a rule of theirs.
-type Notice struct {
-	Index  uint64           `json:"index"` // of the change
-	By     string           `json:"by"`    // "": the mesh's operator
-	Effect classmark.Effect `json:"effect"`
-}
-
-// ruleState is what is agreed on of namespaces' rules, beside the items themselves.
-type ruleState struct {
-	Board   classmark.Board `json:"board"`
-	Notices []Notice        `json:"notices,omitempty"`
-}
-
-// changed takes a committed call.
-func (s *ruleState) changed(e core.Entry, c patch.Call, now patch.Table, raised []patch.Item, effects []classmark.Effect) {
-	for _, i := range raised {
-		if i.Kind.Ruled() {
-			s.Board = s.Board.Changed(now.Print(), e.Index)
-			break
-		}
-	}
-	for _, x := range effects {
-		s.Notices = append(s.Notices, Notice{e.Index, c.By, x})
-	}
-	if n := len(s.Notices) - mostNotices; n > 0 {
-		s.Notices = append([]Notice(nil), s.Notices[n:]...)
-	}
-}
-
-func (s *ruleState) bound() *wire.BoundT {
-	return &wire.BoundT{Print: s.Board.Bound, At: s.Board.BoundAt, Held: s.Board.Held}
-}
+type Notice = replica.Notice
 
 // binding is the leader's side of the two steps. It belongs to Run's goroutine.
 type binding struct {
@@ -58,13 +25,13 @@
 
 // keepRules has a set of rules that was agreed on bind once the lines hold it, at the leader.
 func (r *Register) keepRules(now time.Duration) {
-	x, b := &r.binding, r.state.rules.Board
-	if !r.core.Leads() || !b.Pending() {
+	x, b := &r.binding, r.replica.State().Rules.Board
+	if !r.replica.Leads() || !b.Pending() {
 		*x = binding{}
 		return
 	}
-	if x.of != b.Held || x.term != r.core.Term() {
-		*x = binding{of: b.Held, term: r.core.Term(), since: now}
+	if x.of != b.Held || x.term != r.replica.Term() {
+		*x = binding{of: b.Held, term: r.replica.Term(), since: now}
 	}
 	if !r.board.asking && now-r.board.at >= surveyEvery {
 		r.survey(func() {})
@@ -73,12 +40,12 @@
 
 // bindNext proposes that the set binds, if what the lines say allows it.
 func (r *Register) bindNext() {
-	x, b := &r.binding, r.state.rules.Board
-	if !r.core.Current() || x.of != b.Held || x.proposed || !b.Pending() {
+	x, b := &r.binding, r.replica.State().Rules.Board
+	if !r.replica.Current() || x.of != b.Held || x.proposed || !b.Pending() {
 		return
 	}
 	var lines []classmark.Seen
-	for _, l := range r.dir.All() {
+	for _, l := range r.replica.Records().All() {
 		s := r.board.status[l.Addr]
 		seen := classmark.Seen{Name: l.Node, Silent: s == nil}
 		if s != nil {
@@ -92,7 +59,7 @@
 	}
 	r.log.Info().Str("rules", b.Held).Int("lines", len(lines)).Msg("rules are to bind")
 	x.proposed = true
-	if !r.propose(change(changeBound, &wire.BoundT{Print: b.Held}), func(outcome, bool) { r.binding.proposed = false }) {
+	if !r.replica.Propose(r.now(), replica.Change(replica.ChangeBound, &wire.BoundT{Print: b.Held}), func(replica.Outcome, bool) { r.binding.proposed = false }) {
 		x.proposed = false
 	}
 }
@@ -113,17 +80,17 @@
 
 // takeRules answers a call, at the leader.
 func (r *Register) takeRules(call RulesCall, done func(RulesTold, error)) {
-	r.confirm(func(_ uint64, ok bool) { // so that it is the leader's word, and not that of one that was it
+	r.replica.Confirm(r.now(), func(_ uint64, ok bool) { // so that it is the leader's word, and not that of one that was it
 		if !ok {
 			done(RulesTold{}, control.Fault(http.StatusServiceUnavailable, "the core could not confirm it in time"))
 			return
 		}
-		t := RulesTold{Board: r.state.rules.Board, Waits: r.binding.waits, Notices: []Notice{}, Leader: r.self.Addr}
+		t := RulesTold{Board: r.replica.State().Rules.Board, Waits: r.binding.waits, Notices: []Notice{}, Leader: r.self.Addr}
 		if t.Board.Pending() {
-			s := r.state.bound.Layout()
+			s := r.replica.State().Bound.Layout()
 			t.Bound = &s
 		}
-		for _, n := range r.state.rules.Notices {
+		for _, n := range r.replica.State().Rules.Notices {
 			for _, o := range n.Effect.Owners {
 				if call.Namespace == "" || o == call.Namespace {
 					t.Notices = append(t.Notices, n)
--- a/internal/exchange/register/status.go
+++ b/internal/exchange/register/status.go
@@ -37,15 +37,13 @@
 // status is how this register is. It belongs to Run's goroutine.
 func (r *Register) status() *wire.StatusT {
 	set := r.set.Load()
-	members, view := r.core.Members()
+	state := r.replica.State()
+	members, view := r.replica.Members()
 	s := &wire.StatusT{Name: set.NodeName, Addr: r.self.Addr, Zone: set.Zone, Register: true, Up: r.now().Microseconds(), Id: uint64(r.self.ID),
-		Leader: r.core.Addr(r.core.Leader()), Leads: r.core.Leads(), Outside: r.core.Outside(), Touch: r.touch.Load() > 0, Term: r.core.Term(),
-		Applied: r.core.Applied(), Last: r.logged, View: view, Members: vault.WireMembers(members), Items: r.state.items.Holds(), Keys: uint32(r.state.tickets.Len()),
-		Held: r.held.Load(), Outs: r.state.night.Index, Time: r.wall().UnixNano(), RulesHeld: r.state.rules.Board.Held, RulesBound: r.state.rules.Board.Bound,
-		BoundAt: r.state.rules.Board.BoundAt, Said: trunk.Account()}
-	if s.Leads {
-		s.Leader = r.self.Addr
-	}
+		Leader: r.replica.LeaderAddress(), Leads: r.replica.Leads(), Outside: r.replica.Outside(), Touch: r.touch.Load() > 0, Term: r.replica.Term(),
+		Applied: r.replica.Applied(), Last: r.replica.Logged(), View: view, Members: vault.WireMembers(members), Items: state.Items.Holds(), Keys: uint32(state.Keys.Len()),
+		Held: r.replica.Held(), Outs: state.Maintenance.Index, Time: r.wall().UnixNano(), RulesHeld: state.Rules.Board.Held, RulesBound: state.Rules.Board.Bound,
+		BoundAt: state.Rules.Board.BoundAt, Said: trunk.Account()}
 	for c := range r.lines {
 		if c.Peer.Addr != "" { // else one who only looks
 			s.Lines = append(s.Lines, c.Peer.Addr)
--- /dev/null
+++ b/internal/mesh/replica/replica.go
@@ -0,0 +1,272 @@
+// Package replica is the role logic of one control-plane replica: it feeds the consensus core, applies committed entries to
+// the replicated state, answers calls of operators, sidecars and other replicas, and decides what sidecars are told.
+//
+// It is single-threaded and pure: the time is an argument of every call, and everything outward goes through Environment.
+// There is no goroutine, clock, socket or randomness in it, and no result depends on the order of a map, so that the same
+// calls have the same effects again. The shell in production is internal/exchange/register; in tests it is
+// internal/mesh/sim.
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hollyspur/internal/exchange/core"
+	"hollyspur/internal/exchange/directory"
+	"hollyspur/internal/exchange/trunk/wire"
+	"hollyspur/internal/exchange/vault"
+)
+
+// Times of a replica.
+const (
+	TickInterval      = 50 * time.Millisecond  // between two calls of Tick
+	AnswerWithin      = 900 * time.Millisecond // of a call to the leader; callers move on after a second
+	heartbeatInterval = 100 * time.Millisecond
+	electionTimeout   = 500 * time.Millisecond
+	deadAfter         = 2 * time.Second
+	stuckAfter        = 300 * time.Millisecond // without a tick
+	recordSilence     = 30 * time.Second       // after which a sidecar's record is dropped
+	expireInterval    = 5 * time.Second
+)
+
+// Bounds of a replica's state.
+const (
+	CompactAt        = 4096 // entries behind the snapshot
+	maxProposals     = 4096 // that wait for their entry
+	maxRemembered    = 64   // addresses of replicas that are no members
+	minReplicas      = 3
+	replicasPerFault = 2
+)
+
+// Environment is what a replica acts through. Its methods are called by the goroutine that calls the replica, and must not
+// call the replica before they return.
+type Environment interface {
+	// Send sends a consensus message to the replica at an address. It may be lost, late, repeated or out of order.
+	Send(address string, message core.Message)
+	// Connect sees to it that there is a connection to the replica at an address, or that one is being made.
+	Connect(address string)
+	// AskReplica asks the replica at an address. done is called once, later and by the replica's owner: with its answer, or with
+	// Unavailable where there is none within AnswerWithin.
+	AskReplica(address string, kind byte, body []byte, done func(Reply))
+	// Save has on disk, synced, what ready must have there; last is the last entry that stands on disk before it. False: it is not,
+	// and the replica does nothing until its owner calls Turn again, which saves anew.
+	Save(ready core.Ready, last uint64) bool
+	// Compact replaces, on disk, the log behind from and up to the snapshot's index by the snapshot. It may fail: the longer log
+	// says the same.
+	Compact(snapshot core.Snapshot, from uint64)
+	// TellSidecars sends a message to each sidecar that is connected here.
+	TellSidecars(message any)
+	// TellReplicas sends a message to each replica that there is a connection to.
+	TellReplicas(message any)
+}
+
+// Reply is the answer to a call.
+type Reply struct {
+	Status int // of HTTP
+	Body   []byte
+	Push   any // a message that goes to the caller before the answer; nil: none
+}
+
+// Config is what a replica is made of.
+type Config struct {
+	Address         string // where other replicas and sidecars reach it
+	Held            vault.Held
+	Seeds           []string
+	FaultsTolerated int // machines that may be lost; there are 2n+1 members, at least 3
+	RandomSeed      uint64
+	Log             zerolog.Logger
+}
+
+// Replica is one control-plane replica. It belongs to one goroutine.
+type Replica struct {
+	env     Environment
+	log     zerolog.Logger
+	self    core.Member
+	core    *core.Core
+	state   State
+	seeds   []string
+	now     time.Duration
+	logged  uint64      // last entry on disk
+	unsaved *core.Ready // could not be saved so far; nothing else happens before
+	touched time.Duration
+	held    bool // a maintenance order has this replica out
+
+	proposals map[uint64]proposal // by index
+	reads     map[uint64]func(index uint64, ok bool)
+	nextRead  uint64
+	waiting   []waiter // for the state to come up to an entry
+
+	records     directory.Table
+	expired     time.Duration
+	known       map[string]bool // addresses of replicas that were heard of
+	addresses   map[core.ID]string
+	leaderTold  core.ID
+	membersTold uint64 // index of the member list that sidecars were told
+	leaderless  Leaderless
+}
+
+type proposal struct {
+	term uint64
+	done func(Outcome, bool)
+}
+
+type waiter struct {
+	index uint64
+	then  func()
+}
+
+// New returns a replica as its disk has it. The error is that of a state that can't be read.
+func New(c Config, env Environment, now time.Duration) (*Replica, error) {
+	r := &Replica{env: env, log: c.Log, self: core.Member{ID: c.Held.Self, Addr: c.Address}, seeds: c.Seeds, now: now,
+		proposals: map[uint64]proposal{}, reads: map[uint64]func(uint64, bool){}, known: map[string]bool{}, addresses: map[core.ID]string{}}
+	if err := r.state.Load(c.Held.Snapshot.Data); err != nil {
+		return nil, err
+	}
+	r.core = core.New(core.Config{Self: r.self, Hard: c.Held.Hard, Snapshot: c.Held.Snapshot, Log: c.Held.Log,
+		Size: max(minReplicas, replicasPerFault*c.FaultsTolerated+1), Beat: heartbeatInterval, Election: electionTimeout, Dead: deadAfter,
+		Seed: c.RandomSeed}, now)
+	r.logged = c.Held.Snapshot.Index + uint64(len(c.Held.Log))
+	return r, nil
+}
+
+// SetSeeds takes the addresses of a configuration that has changed.
+func (r *Replica) SetSeeds(seeds []string) { r.seeds = seeds }
+
+// at takes note of the time, which never goes back.
+func (r *Replica) at(now time.Duration) { r.now = max(r.now, now) }
+
+// Step takes a consensus message.
+func (r *Replica) Step(now time.Duration, m core.Message) {
+	r.at(now)
+	r.core.Step(r.now, m)
+}
+
+// Leave hands the lead over, for the process is about to end.
+func (r *Replica) Leave(now time.Duration) {
+	r.at(now)
+	r.core.Yield(r.now)
+}
+
+// Tick sees to what time does. It is to be called every TickInterval, followed by Turn.
+func (r *Replica) Tick(now time.Duration) {
+	r.at(now)
+	r.core.Tick(r.now)
+	r.keepMaintenance()
+	r.keepTouch()
+	r.noteLeader()
+	r.noteMembers()
+	r.keepConnections()
+	if r.now-r.expired > expireInterval && r.core.InTouch(r.now) {
+		r.expired = r.now
+		r.records, _ = r.records.Expire(r.now, recordSilence)
+	}
+}
+
+// keepMaintenance gives the lead away where an order has this replica out.
+func (r *Replica) keepMaintenance() {
+	r.held = slices.ContainsFunc(r.state.Maintenance.Outs().List, func(o *wire.OutT) bool { return o.Addr == r.self.Addr })
+	if r.held && r.core.Leads() {
+		r.core.Yield(r.now)
+	}
+}
+
+func (r *Replica) keepTouch() {
+	r.touched = 0
+	if r.core.InTouch(r.now) && !r.core.Outside() && !r.held {
+		r.touched = max(1, r.now)
+	}
+}
+
+// Touched is when the replica last was in touch with a majority, as of the last Tick; 0: it is not.
+func (r *Replica) Touched() time.Duration { return r.touched }
+
+// InTouch says whether a replica with that Touched may say, at a time, that it is in touch. One whose owner hangs, on a disk
+// for one, is in touch with nobody.
+func InTouch(touched, now time.Duration) bool { return touched > 0 && now-touched < stuckAfter }
+
+func (r *Replica) noteLeader() {
+	if lead := r.core.Leader(); lead != r.leaderTold {
+		r.leaderTold = lead
+		r.log.Info().Uint64("leader", uint64(lead)).Str("addr", r.core.Addr(lead)).Uint64("term", r.core.Term()).Uint64("applied", r.core.Applied()).Msg("leader")
+	}
+}
+
+func (r *Replica) noteMembers() {
+	members, view := r.core.Members()
+	if view == r.membersTold {
+		return
+	}
+	r.membersTold = view
+	clear(r.known) // those that were let go say so when they come back
+	addresses := make([]string, 0, len(members))
+	for _, m := range members {
+		r.known[m.Addr] = true
+		addresses = append(addresses, m.Addr)
+	}
+	r.log.Info().Uint64("view", view).Int("members", len(members)).Strs("addrs", addresses).Msg("members")
+	r.env.TellSidecars(r.membersMessage())
+}
+
+// keepConnections keeps connections to all replicas that are known, also where the core has nothing to say: sidecars' records
+// go by them. One that is no member asks all of them to be taken in.
+func (r *Replica) keepConnections() {
+	for _, a := range r.seeds {
+		r.known[a] = true
+	}
+	delete(r.known, r.self.Addr)
+	addresses := sortedKeys(r.known)
+	for _, a := range addresses {
+		r.env.Connect(a)
+	}
+	if r.core.Outside() {
+		for _, a := range addresses { // it may know nobody but by address
+			r.env.Send(a, core.Message{Kind: core.Join, From: r.self.ID, Addr: r.self.Addr, Version: core.Version})
+		}
+	}
+}
+
+func sortedKeys(m map[string]bool) []string {
+	l := make([]string, 0, len(m))
+	for k := range m {
+		l = append(l, k)
+	}
+	slices.Sort(l)
+	return l
+}
+
+// Remember keeps where a replica that connected here listens: one that is no member has to be told so.
+func (r *Replica) Remember(id core.ID, address string) {
+	r.known[address] = true
+	if len(r.addresses) > maxRemembered {
+		clear(r.addresses)
+	}
+	r.addresses[id] = address
+}
+
+// leaderAddress is where another replica that leads listens; "": there is none, or it is this one.
+func (r *Replica) leaderAddress() string {
+	if r.core.Leads() {
+		return ""
+	}
+	if a := r.core.Addr(r.core.Leader()); a != r.self.Addr {
+		return a
+	}
+	return ""
+}
+
+func (r *Replica) sendAll(messages []core.Message) {
+	for _, m := range messages {
+		address := r.core.Addr(m.To)
+		if m.Kind == core.NotMember && m.Addr != "" {
+			address = m.Addr
+		}
+		if address == "" {
+			address = r.addresses[m.To]
+		}
+		if address != "" && address != r.self.Addr {
+			r.env.Send(address, m)
+		}
+	}
+}
