Not run is said only where the server can't have all of the request; an answer that names no request is not taken for another's

Cause: an upload whose length was told had all its bytes at the server, and was called not run where the word that no more comes was lost behind the last byte (a cord that ends between the last piece and its mark), or the attempt's time ended there: its key was given back, and the request ran again. Bytes beyond the told length went on to the server, where they would pass for a request. A refusal without an id, sent twice, was taken for the next request's on a kept connection: a call that ran was called not run. Change: an upload is whole with its last byte (of one in chunks with the line of the last chunk); what is beyond breaks it off; a connection with an answer that named no request carries nothing more that must not run twice. Ruled out: taking every answer without an id for none: servers that shed name none, and each refusal would end unknown.

--- a/internal/exchange/line/inbound.go
+++ b/internal/exchange/line/inbound.go
@@ -379,9 +379,16 @@
 	h[hTarget] = []string{a.Endpoint.ID}
 }
 
-func (serverSpeech) Matches(m *message.Request, resp *http.Response) bool {
-	got := resp.Header.Get(hAttempt)
-	return got == m.Note.(*wire.RequestT).Attempt || got == "" && resp.StatusCode/100 != 2 // one that turns a request away need not say which
+// Matches implements sender.Speech. An answer that turns a request away need not say which; a success that names none is no
+// answer to any.
+func (serverSpeech) Matches(m *message.Request, resp *http.Response) sender.Match {
+	switch got := resp.Header.Get(hAttempt); {
+	case got == m.Note.(*wire.RequestT).Attempt:
+		return sender.OfRequest
+	case got == "" && resp.StatusCode/100 != 2:
+		return sender.Unnamed
+	}
+	return sender.OfAnother
 }
 
 func (serverSpeech) Ending(resp *http.Response) (hollyspur.Ending, bool) {
--- a/internal/sender/http1/conns.go
+++ b/internal/sender/http1/conns.go
@@ -43,7 +43,9 @@
 	limit *io.LimitedReader // under r
 	since time.Time         // idle since
 	kept  bool              // it carried a request before this one
-	trip  time.Duration     // how long it took to come up: a trip there and back, and more
+	// unnamed: an answer on it named no request, so a second copy of that could not be told from the next answer
+	unnamed bool
+	trip    time.Duration // how long it took to come up: a trip there and back, and more
 }
 
 var errNoRoom = errors.New("no descriptor left for another connection")
@@ -54,7 +56,7 @@
 	trusted := p.trust.may(time.Since(p.start), unsafe)
 	p.mu.Unlock()
 	for {
-		c := p.takeIdle(ep)
+		c := p.takeIdle(ep, unsafe)
 		if c == nil {
 			break
 		}
@@ -93,12 +95,13 @@
 	return p.trust.wary(time.Since(p.start), c.kept)
 }
 
-func (p *conns) takeIdle(ep *engine.Endpoint) *conn {
+// takeIdle takes the settled connection used last that may carry the request; nil: there is none.
+func (p *conns) takeIdle(ep *engine.Endpoint, unsafe bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.idle[ep]
 	for i, c := range slices.Backward(l) {
-		if time.Since(c.since) >= p.settled {
+		if time.Since(c.since) >= p.settled && !(unsafe && c.unnamed) {
 			p.idle[ep] = slices.Delete(l, i, i+1)
 			return c
 		}
--- a/internal/sender/http1/http1.go
+++ b/internal/sender/http1/http1.go
@@ -34,14 +34,25 @@
 type Speech interface {
 	// Head adds to a request's head what is an attempt's own.
 	Head(a *engine.Attempt, h http.Header)
-	// Matches says that an answer belongs to a request; one that does not is read and thrown away.
-	Matches(m *message.Request, resp *http.Response) bool
+	// Matches says whose an answer is, as far as it tells. One that names another request is read and thrown away.
+	Matches(m *message.Request, resp *http.Response) Match
 	// Ending says how an attempt ended whose answer came whole, and whether its body is wanted.
 	Ending(resp *http.Response) (ending hollyspur.Ending, wanted bool)
 	// Word words an answer's head for whoever it goes to.
 	Word(resp *http.Response) (status int, header []message.Field, contentType string)
 }
 
+// Match is whose an answer is, by what it says itself.
+type Match uint8
+
+// Matches. Unnamed is an answer that names no request. It is taken for the answer to the request that waits, but its
+// connection carries nothing more that must not run twice: a second copy of it could not be told from the next answer.
+const (
+	OfAnother Match = iota
+	Unnamed
+	OfRequest
+)
+
 // platform is the Speech of the protocol's page.
 type platform struct{}
 
@@ -49,7 +60,7 @@
 	h["X-Time-Left"] = []string{message.TimeLeft(a.Timeout)}
 }
 
-func (platform) Matches(*message.Request, *http.Response) bool { return true }
+func (platform) Matches(*message.Request, *http.Response) Match { return OfRequest }
 
 func (platform) Ending(resp *http.Response) (hollyspur.Ending, bool) {
 	switch {
@@ -302,7 +313,8 @@
 // writeQuiet is how long a server may take nothing of a long request.
 const writeQuiet = 10 * time.Second
 
-// upload writes a request whose body comes as its caller sends it. A server that answers before the end is heard.
+// upload writes a request whose body comes as its caller sends it. A server that answers before the end is heard. whole: the
+// server can have all of it, so it may run, whatever the caller or the attempt's time does after its last byte.
 func (s *Sender) upload(ctx context.Context, c *conn, head []byte, m *message.Request) (out int64, whole bool, err error) {
 	writing, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
@@ -316,27 +328,8 @@
 		}
 		early <- err
 	}()
-	var w io.Writer = deadlined{c.Conn}
-	if _, err = w.Write(head); err == nil {
-		if m.More.Length < 0 {
-			w = httputil.NewChunkedWriter(w)
-		}
-		for p := m.Body; err == nil && len(p) > 0; {
-			if _, err = w.Write(p); err == nil {
-				out += int64(len(p))
-				p, err = m.More.Next(writing)
-			}
-		}
-	}
-	if err == nil && m.More.Trailer() == nil {
-		err = errBrokenOff
-	}
-	if err == nil && m.More.Length < 0 {
-		if err = w.(io.Closer).Close(); err == nil {
-			_, err = c.Write([]byte("\r\n"))
-		}
-	}
-	if err == nil {
+	out, whole, err = uploadBody(writing, deadlined{c.Conn}, head, m)
+	if err == nil || whole {
 		// It is written. What the goroutine is looking for is the answer.
 		stop(nil)
 	} else if context.Cause(writing) != errEarly {
@@ -344,16 +337,52 @@
 		<-early
 		return out, false, err
 	}
-	wrote := err == nil
 	if err := <-early; err != nil {
-		if wrote {
+		if whole {
 			return out, true, nil // the reader meets the same end, and says what it means
 		}
 		return out, false, err
 	}
-	return out, wrote, c.SetWriteDeadline(time.Time{})
+	return out, whole, c.SetWriteDeadline(time.Time{})
 }
 
+// uploadBody writes a head and the body that follows. whole: all of it went out, or what a server may take for all of it. A
+// body whose length was told ends with its last byte: it needs no word that no more will come, which might be lost.
+func uploadBody(ctx context.Context, w io.Writer, head []byte, m *message.Request) (out int64, whole bool, err error) {
+	if _, err = w.Write(head); err != nil {
+		return 0, false, err
+	}
+	length, to := m.More.Length, w
+	if length < 0 {
+		to = httputil.NewChunkedWriter(w)
+	}
+	for p := m.Body; len(p) > 0; {
+		if length >= 0 && out+int64(len(p)) > length {
+			return out, false, errBrokenOff // what is beyond the length would pass for another request
+		}
+		if _, err = to.Write(p); err != nil {
+			return out, false, err
+		}
+		if out += int64(len(p)); out == length {
+			return out, true, nil
+		}
+		if p, err = m.More.Next(ctx); err != nil {
+			return out, false, err
+		}
+	}
+	if length >= 0 || m.More.Trailer() == nil {
+		return out, false, errBrokenOff
+	}
+	n, err := io.WriteString(w, chunksEnd)
+	return out, n >= len(lastChunk), err
+}
+
+// The end of a body in chunks (RFC 9112, section 7.1). Some servers take a request as whole with the last chunk's line.
+const (
+	lastChunk = "0\r\n"
+	chunksEnd = lastChunk + "\r\n"
+)
+
 var (
 	errEarly     = errors.New("the server answered before the request's end")
 	errBrokenOff = errors.New("the request broke off")
--- a/internal/sender/http1/read.go
+++ b/internal/sender/http1/read.go
@@ -69,7 +69,9 @@
 			}
 			continue
 		}
-		if !s.speech.Matches(a.Payload.(*message.Request), resp) {
+		match := s.speech.Matches(a.Payload.(*message.Request), resp)
+		c.unnamed = c.unnamed || match == Unnamed
+		if match == OfAnother {
 			// A second answer to an earlier request, which came late; ours may be behind it.
 			c.limit.N = maxAnswer / 64
 			if _, err := io.Copy(io.Discard, quiet{c, resp.Body, s.quietWithin}); err != nil || stray || resp.Close {
