Calls cut at each byte of request and answer, on both hops; answers are checked against their calls at the end of a cord

Change: tests drive the real lines in one process, with byte-exact relays between lines and before the server, and a history that judges from outside: one answer each, its own; one run; 503 only of what never ran. A line takes no answer that names another call than the one that waits (broken, never passed on), no second beginning of one, and ends a trunk on which a request's id comes while it is in use. A call's ticket is its own number and no longer its Attempt-Id: with an id used twice, a later try of the second call was granted what the first held.

--- /dev/null
+++ b/internal/exchange/line/chain_test.go
@@ -0,0 +1,392 @@
+package line
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"hollyspur/internal/exchange/directory"
+	"hollyspur/internal/exchange/howler"
+	"hollyspur/internal/exchange/patch"
+	"hollyspur/internal/exchange/settings"
+	"hollyspur/internal/exchange/ticket"
+	"hollyspur/internal/exchange/trunk"
+	"hollyspur/internal/exchange/trunk/wire"
+	"hollyspur/internal/testkit"
+)
+
+// A chain is the real way of a call in one process: caller, line, trunk, line, server, with relays on both hops and a stand-in
+// for the registers. Tests cut it where they want.
+
+const chainHost = "shop.example"
+
+// freeAddr is a loopback address that nothing listens on.
+func freeAddr(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), rand.IntN(256), 1+rand.IntN(250)))
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// registers stands in for the registers: items, records and keys, all in touch.
+type registers struct {
+	addr string
+
+	mu      sync.Mutex // guards below
+	items   *wire.ItemsT
+	seenAs  map[string]string // a line's address as the others are told it
+	records map[string]*wire.RecordT
+	conns   map[*trunk.Conn]bool
+	book    *ticket.Book
+	grant   func(ticket.Claim, ticket.Grant) ticket.Grant // planted; nil: none
+}
+
+func startRegisters(t testing.TB, config string) *registers {
+	t.Helper()
+	items, err := patch.Read([]byte(config))
+	assert.NilError(t, err)
+	r := &registers{items: patch.Wire(items), seenAs: map[string]string{}, records: map[string]*wire.RecordT{}, conns: map[*trunk.Conn]bool{}, book: ticket.New()}
+	r.items.Whole, r.items.Index = true, 1
+	l, err := net.Listen("tcp4", freeAddr(t))
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	r.addr = l.Addr().String()
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if c, err := trunk.Accept(nc, func() *wire.BeatT { return &wire.BeatT{Touch: true} }); err == nil {
+					r.serve(c)
+				}
+			}()
+		}
+	}()
+	return r
+}
+
+func (r *registers) serve(c *trunk.Conn) {
+	r.mu.Lock()
+	r.conns[c] = true
+	r.mu.Unlock()
+	c.Send(&wire.BeatT{Touch: true})
+	r.tell()
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			break
+		}
+		switch v := m.Value.(type) {
+		case *wire.RecordsT:
+			r.mu.Lock()
+			for _, x := range v.List {
+				r.records[x.Addr] = x
+			}
+			r.mu.Unlock()
+			r.tell()
+		case *wire.AskT:
+			c.Send(&wire.ToldT{Id: v.Id, Status: http.StatusOK, Body: r.answer(v)})
+		}
+	}
+	r.mu.Lock()
+	delete(r.conns, c)
+	r.mu.Unlock()
+}
+
+// tell tells all lines of all lines.
+func (r *registers) tell() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := &wire.RecordsT{}
+	for addr, x := range r.records {
+		y := *x
+		if as := r.seenAs[addr]; as != "" {
+			y.Addr = as
+		}
+		all.List = append(all.List, &y)
+	}
+	for c := range r.conns {
+		c.Send(all)
+	}
+}
+
+func (r *registers) answer(a *wire.AskT) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch a.Kind {
+	case trunk.AskTable:
+		return trunk.Bytes(r.items)
+	case trunk.AskBound:
+		return trunk.Bytes(&wire.BoundT{})
+	case trunk.AskClaims:
+		out := &wire.GrantsT{}
+		for _, c := range wire.GetRootAsClaims(a.Body, 0).UnPack().List {
+			claim := ticket.Claim{Key: c.Key, Ticket: c.Ticket, Nth: c.Nth, Holder: c.Holder, Release: c.Release, Window: time.Duration(c.Window) * time.Microsecond}
+			g := r.book.Take(time.Second, claim)
+			if r.grant != nil {
+				g = r.grant(claim, g)
+			}
+			out.List = append(out.List, &wire.GrantT{Granted: g.Granted, Holder: g.Held.Holder, Ticket: g.Held.Ticket})
+		}
+		return trunk.Bytes(out)
+	}
+	return nil
+}
+
+// app is a server beside a line. It runs what it has read whole, and answers as the call's path says.
+type app struct {
+	id, addr string
+	history  *callHistory
+	hold     atomic.Pointer[chan struct{}] // answers wait until that is closed
+}
+
+func startApp(t testing.TB, id string, history *callHistory) *app {
+	t.Helper()
+	a := &app{id: id, history: history}
+	a.addr = testkit.Listen(t, a.serve)
+	return a
+}
+
+const httpHeadEnd = "\r\n\r\n"
+
+func (a *app) serve(c net.Conn, r *bufio.Reader) {
+	before := "" // the call answered before on this connection
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.ReadAll(req.Body); err != nil {
+			return // not whole
+		}
+		id := req.Header.Get(hAttempt)
+		if req.Header.Get(hTarget) != a.id {
+			io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		how := req.URL.Path[strings.LastIndex(req.URL.Path, "/")+1:]
+		if how == "shed" {
+			io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		a.history.ran(id, a.id)
+		if hold := a.hold.Load(); hold != nil {
+			<-*hold
+		}
+		if _, err := io.WriteString(c, answerAs(how, id, before)); err != nil {
+			return
+		}
+		before = id
+	}
+}
+
+// answerAs words an answer, or what a server in trouble sends in its place.
+func answerAs(how, id, before string) string {
+	whole := func(id, more string) string {
+		body := bodyOf(id) + more
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\nContent-Length: %d%s%s", id, sealOf(id), len(body), httpHeadEnd, body)
+	}
+	switch how {
+	case "twice": // in one segment
+		return whole(id, "") + whole(id, "")
+	case "late": // the answer before comes once more, in place of this
+		if before != "" {
+			return whole(before, "") + whole(id, "")
+		}
+	case "wrong": // another's alone, and no more
+		return whole("nobody", "")
+	case "unnamed": // a success that says not whose it is
+		return strings.Replace(whole(id, ""), "Attempt-Id: "+id+"\r\n", "", 1)
+	case "more": // bytes beyond the length
+		return whole(id, "") + "and more"
+	case "chunks":
+		body := bodyOf(id)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\nTransfer-Encoding: chunked%s%x\r\n%s\r\n0\r\n\r\n", id, sealOf(id), httpHeadEnd, len(body), body)
+	case "long":
+		return whole(id, strings.Repeat("x", 200_000))
+	}
+	return whole(id, "")
+}
+
+// chain is a caller's line and lines beside servers, each behind a relay.
+type chain struct {
+	t         testing.TB
+	history   *callHistory
+	registers *registers
+	near      *Line
+	far       []*Line
+	apps      []*app
+	cords     []*relay // on the way from near to each far line
+	servers   []*relay // on the way from each far line to its server
+}
+
+var chainNumber atomic.Uint64
+
+// startChain starts a chain with so many servers.
+func startChain(t testing.TB, servers int) *chain {
+	t.Helper()
+	x := &chain{t: t, history: newCallHistory()}
+	rule := func(name string) string {
+		kind := map[string]string{"once": "non_idempotent", "keyed": "keyed", "often": "idempotent"}[name]
+		return fmt.Sprintf(`{"Name":"%s","RouteType":"%s","TargetLatencyS":1,"Priority":1,"ConfigVersion":1,"MatchCriteria":{"PathPrefix":"/%s/"},
+			"ForwardAction":{"Service":"stock","TimeoutS":20,"RetryCount":3}}`, name, kind, name)
+	}
+	x.registers = startRegisters(t, fmt.Sprintf(`{"Upsert":{"ListenerList":[{"HostName":"%s","PolicyRules":[%s,%s,%s]}],
+		"UpstreamGroups":[{"Name":"stock","HealthPath":"/health","MaxConnections":1000,"Protocol":"h1","TlsEnabled":false,"DedupEnabled":false,"ConfigVersion":1}]}}`,
+		chainHost, rule("once"), rule("keyed"), rule("often")))
+	for n := range servers {
+		far := x.line(fmt.Sprint("far-", n), "stock")
+		r := startRelay(t, far.Addr(), &cordFrames{})
+		x.registers.mu.Lock()
+		x.registers.seenAs[far.Addr()] = r.addr
+		x.registers.mu.Unlock()
+		a := startApp(t, fmt.Sprint("i-", n), x.history)
+		s := startRelay(t, a.addr, &httpMessages{})
+		x.far, x.cords, x.apps, x.servers = append(x.far, far), append(x.cords, r), append(x.apps, a), append(x.servers, s)
+		assert.NilError(t, far.own.beat(a.id, Beat{Address: s.addr, SystemInfo: SystemInfo{Service: "stock", SlotCount: 256}, OperStatus: OperStatus{State: "ready", CallSeq: 1}}))
+		runLine(t, far)
+	}
+	x.near = x.line("near", "caller")
+	runLine(t, x.near)
+	await(t, func() bool {
+		n := 0
+		for _, r := range x.near.dir.Load().All() {
+			if r.Server != "" && r.State == directory.Ready {
+				n++
+			}
+		}
+		return n == servers && x.near.serving.Load() && x.near.home.inTouch() && x.call(onceCall, "plain", "", 2*time.Second).Status == 200
+	})
+	return x
+}
+
+func await(t testing.TB, ok func() bool) {
+	t.Helper()
+	for until := time.Now().Add(testkit.Limit); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("waited in vain")
+		}
+	}
+}
+
+// noRing is a log that nobody reads: making one sets what is the process's own.
+var noRing = sync.OnceValue(func() *howler.Howler {
+	_, ring := howler.New(io.Discard, "test")
+	return ring
+})
+
+func (x *chain) line(name, service string) *Line {
+	x.t.Helper()
+	host, port, err := net.SplitHostPort(x.registers.addr)
+	assert.NilError(x.t, err)
+	first, err := strconv.Atoi(port)
+	assert.NilError(x.t, err)
+	set := settings.Defaults()
+	set.NodeName, set.IPAddress, set.Zone, set.Service = name, "127.0.0.1", "zone", service
+	set.SeedNodes, set.InternalPortRange = []string{net.JoinHostPort(host, "1")}, []int{first, first + 1}
+	set.HeartbeatS, set.Bounds.GraceS = 600, 0.2
+	set.ListenAddrs = settings.Listen{Inbound: freeAddr(x.t), Outbound: freeAddr(x.t), Readiness: freeAddr(x.t), ControlPlane: freeAddr(x.t)}
+	l, err := New(set, zerolog.Nop(), noRing())
+	assert.NilError(x.t, err)
+	return l
+}
+
+// runLine runs a line until the test's end.
+func runLine(t testing.TB, l *Line) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+// callerConn is a connection of a caller, for any number of calls in turn.
+type callerConn struct {
+	x *chain
+	c net.Conn
+	r *bufio.Reader
+}
+
+func (x *chain) dial() *callerConn {
+	x.t.Helper()
+	c, err := net.Dial("tcp4", x.near.set.Load().ListenAddrs.Outbound)
+	assert.NilError(x.t, err)
+	return &callerConn{x, c, bufio.NewReader(c)}
+}
+
+// attemptID is a new id of a call.
+func attemptID() string { return fmt.Sprintf("a%07d", chainNumber.Add(1)) }
+
+// call makes one call on a connection of its own.
+func (x *chain) call(kind kindOfCall, how, key string, budget time.Duration) told {
+	return x.callAs(attemptID(), kind, how, key, budget)
+}
+
+func (x *chain) callAs(attempt string, kind kindOfCall, how, key string, budget time.Duration) told {
+	c := x.dial()
+	defer c.c.Close()
+	return c.call(attempt, kind, how, key, budget)
+}
+
+const callBody = "twelve bytes"
+
+// uploadBytes is a body that comes in pieces.
+const uploadBytes = 200_000
+
+// call makes one call and reads its one answer.
+func (c *callerConn) call(attempt string, kind kindOfCall, how, key string, budget time.Duration) told {
+	c.x.history.asked(attempt, kind, key)
+	t := c.exchange(attempt, kind, how, key, budget)
+	c.x.history.answered(attempt, t)
+	return t
+}
+
+func (c *callerConn) exchange(attempt string, kind kindOfCall, how, key string, budget time.Duration) told {
+	body := callBody
+	if how == "upload" {
+		body = strings.Repeat("x", uploadBytes)
+	}
+	head := fmt.Sprintf("POST /%s/%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Budget: %d\r\nContent-Length: %d\r\n", kind, how, chainHost, attempt, budget.Milliseconds(), len(body))
+	if key != "" {
+		head += "Operation-Key: " + key + "\r\n"
+	}
+	c.c.SetDeadline(time.Now().Add(budget + testkit.Limit))
+	if _, err := io.WriteString(c.c, head+"\r\n"+body); err != nil {
+		return told{}
+	}
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return told{}
+	}
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return told{}
+	}
+	return told{Status: resp.StatusCode, Named: resp.Header.Get(hAttempt), Seal: resp.Header.Get(hSeal), Body: string(text), RetryAfter: resp.Header.Get(hRetry)}
+}
+
+// clean fails the test for each rule that was broken.
+func (x *chain) clean() {
+	x.t.Helper()
+	for _, v := range x.history.violations() {
+		x.t.Error(v)
+	}
+}
--- a/internal/exchange/line/cord.go
+++ b/internal/exchange/line/cord.go
@@ -58,6 +58,7 @@
 type sent struct {
 	a      *engine.Attempt
 	id     uint64
+	name   string // the request's Attempt-Id: an answer that has another is not its own
 	c      *trunk.Conn
 	credit credit        // for the request's body
 	ended  chan struct{} // closed with the attempt's end
@@ -177,7 +178,7 @@
 	if m.More != nil && !m.Claim() {
 		return hollyspur.Void, nil
 	}
-	p := &sent{a: a, id: s.next.Add(1), c: c, ended: make(chan struct{}), trace: o.trace}
+	p := &sent{a: a, id: s.next.Add(1), name: o.attempt, c: c, ended: make(chan struct{}), trace: o.trace}
 	p.credit.grant(window)
 	if !x.enter(p) {
 		return hollyspur.Unreachable, nil
@@ -371,7 +372,8 @@
 	close(p.ended)
 }
 
-// begin has an answer come in pieces, unless the attempt has ended meanwhile: its end comes after its beginning.
+// begin has an answer come in pieces, unless the attempt has ended meanwhile: its end comes after its beginning. One that
+// begins twice is broken.
 func (p *sent) begin(v *wire.AnswerT) {
 	taken := 0
 	fields := fieldsOf(v.Fields)
@@ -386,11 +388,17 @@
 	})
 	st.Status, st.Length = int(v.Status), v.Length
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.over {
+		p.mu.Unlock()
 		p.c.Send(&wire.CancelT{Id: p.id})
 		return
 	}
+	if p.stream != nil {
+		p.mu.Unlock()
+		p.end(hollyspur.Broken, nil)
+		return
+	}
+	defer p.mu.Unlock()
 	p.stream = st
 	p.a.Began(st)
 }
@@ -406,7 +414,7 @@
 	return out
 }
 
-// take takes an answer as it came. One whose head can't be read is none.
+// take takes an answer as it came. One whose head can't be read is none, and so is one that names another request.
 func (p *sent) take(v *wire.AnswerT) {
 	if len(v.Head) > 0 {
 		fields, err := trunk.UnpackHead(v.Head)
@@ -416,6 +424,12 @@
 		}
 		v.Fields = fields
 	}
+	for _, f := range v.Fields {
+		if f.Name == hAttempt && f.Value != p.name {
+			p.end(hollyspur.Broken, nil)
+			return
+		}
+	}
 	p.answer(v)
 }
 
@@ -446,8 +460,9 @@
 func (p *sent) piece(v *wire.PieceT) {
 	p.mu.Lock()
 	st := p.stream
+	over := p.over
 	p.mu.Unlock()
-	if st == nil {
+	if st == nil || over {
 		return
 	}
 	if len(v.Body) > 0 {
--- /dev/null
+++ b/internal/exchange/line/cut_test.go
@@ -0,0 +1,178 @@
+package line
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"hollyspur/internal/testkit"
+)
+
+// hop is where a call is cut.
+type hop string
+
+const (
+	betweenLines hop = "between lines"
+	toServer     hop = "to the server"
+)
+
+func (x *chain) relayAt(h hop) *relay {
+	if h == betweenLines {
+		return x.cords[0]
+	}
+	return x.servers[0]
+}
+
+// patience of the caller for calls whose connection says nothing any more.
+const silentBudget = 60 * time.Millisecond
+
+// mostTries is how often one point is tried.
+const mostTries = 50
+
+// cutCall makes one call that is cut, and then another; of a key its repeat in between. struck: the cut came about.
+func (x *chain) cutCall(h hop, kind kindOfCall, c *cut) (first told, struck bool) {
+	x.t.Helper()
+	attempt, key := attemptID(), ""
+	if kind == keyedCall {
+		key = "k-" + attempt
+	}
+	budget := 2 * time.Second
+	if c.mode == cutSilent || c.mode == cutLate {
+		budget = silentBudget
+	}
+	x.relayAt(h).plan(attempt, c)
+	conn := x.dial()
+	defer conn.c.Close()
+	first = conn.call(attempt, kind, "plain", key, budget)
+	close(c.mended)
+	select {
+	case <-c.struck:
+		struck = true
+		if c.mode == cutLate {
+			<-c.released
+		}
+	default:
+	}
+	// On the same connection, where the caller's line has left it open: whatever comes there is the next call's own answer.
+	next := conn
+	if first.Status == 0 {
+		x.t.Errorf("%s %s %s after %d: the caller's connection ended", h, kind, c.mode, c.after)
+		next = x.dial()
+		defer next.c.Close()
+	}
+	if kind == keyedCall {
+		again := next.call(attemptID(), keyedCall, "plain", key, 2*time.Second)
+		switch again.Status {
+		case 200, 409, 502, 503:
+		default:
+			x.t.Errorf("%s %s %s after %d: the repeat is told %+v", h, kind, c.mode, c.after, again)
+		}
+	}
+	// The module holds calls off a server that timed out: they are told when to come again.
+	await(x.t, func() bool {
+		after := next.call(attemptID(), repeatableCall, "plain", "", 5*time.Second)
+		if after.Status != 200 && after.Status != 503 {
+			x.t.Errorf("%s %s %s after %d, then: %+v", h, kind, c.mode, c.after, after)
+			return true
+		}
+		return after.Status == 200
+	})
+	return first, struck
+}
+
+// sweep cuts calls behind each byte of the request, or of the answer, from a first byte on with a step.
+func (x *chain) sweep(h hop, kind kindOfCall, mode cutMode, answer bool, from, step int) (points int) {
+	for after := from; ; after += step {
+		c := newCut(mode, answer, after)
+		for tries := 1; ; tries++ { // it may be turned away, or its time be over, before it comes to the cut
+			first, struck := x.cutCall(h, kind, c)
+			if struck {
+				break
+			}
+			if first.Status == 200 || tries == mostTries {
+				x.t.Errorf("%s %s %s after %d: not struck, %+v", h, kind, mode, after, first)
+				return points
+			}
+			c = newCut(mode, answer, after)
+		}
+		points++
+		if after >= c.of {
+			return points
+		}
+	}
+}
+
+// A keyed and an unrepeatable call are cut behind each byte of request and answer, on each hop, in each way. Each runs once at
+// the most; its caller has one answer, its own, and 503 only where it has not run; the next call has its own.
+func TestCutAtEachByte(t *testing.T) {
+	for _, h := range []hop{betweenLines, toServer} {
+		for _, kind := range []kindOfCall{onceCall, keyedCall} {
+			for _, mode := range []cutMode{cutReset, cutClose, cutSilent, cutLate} {
+				for _, answer := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s/%s/%s/answer=%v", h, kind, mode, answer), func(t *testing.T) {
+						t.Parallel()
+						const ways = 4
+						step := ways
+						if testkit.Race {
+							step *= 4
+						}
+						var all sync.WaitGroup
+						var points [ways]int
+						chains := [ways]*chain{startChain(t, 1)}
+						for n := range ways {
+							chains[n] = chains[0]
+							if h == betweenLines && n > 0 { // a cut ends all that is under way there
+								chains[n] = startChain(t, 1)
+							}
+							all.Go(func() { points[n] = chains[n].sweep(h, kind, mode, answer, n, step) })
+						}
+						all.Wait()
+						for _, x := range chains {
+							x.clean()
+						}
+						t.Log(points, "points")
+					})
+				}
+			}
+		}
+	}
+}
+
+// A long request whose cord ends before each of its frames, the one that only says that no more comes among them: by then the
+// server has it whole, and a key that was given back would run again.
+func TestCutBetweenPieces(t *testing.T) {
+	for _, kind := range []kindOfCall{onceCall, keyedCall} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			x := startChain(t, 1)
+			for frames := 0; ; frames++ {
+				attempt, key := attemptID(), ""
+				if kind == keyedCall {
+					key = "k-" + attempt
+				}
+				c := newCut(cutReset, false, 0)
+				c.frames = frames
+				x.cords[0].plan(attempt, c)
+				first := x.callAs(attempt, kind, "upload", key, 2*time.Second)
+				close(c.mended)
+				await(t, func() bool { return x.far[0].inbound.open.Load() == 0 })
+				if kind == keyedCall {
+					await(t, func() bool { return x.call(keyedCall, "upload", key, 2*time.Second).Status != 503 })
+				}
+				select {
+				case <-c.struck:
+				default:
+					if first.Status != 200 {
+						continue // turned away before
+					}
+					if frames < 3 {
+						t.Errorf("only %d frames", frames)
+					}
+					x.clean()
+					return
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/exchange/line/history_test.go
@@ -0,0 +1,148 @@
+package line
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+)
+
+// kindOfCall is how often a call may run.
+type kindOfCall string
+
+const (
+	onceCall       kindOfCall = "once"
+	keyedCall      kindOfCall = "keyed"
+	repeatableCall kindOfCall = "often"
+)
+
+// told is what a caller was told: the status, the request that the answer names, its seal and body; status 0: the connection
+// ended without an answer.
+type told struct {
+	Status      int
+	Named, Seal string
+	Body        string
+	RetryAfter  string
+}
+
+// callSeen is one call as its caller and the servers saw it.
+type callSeen struct {
+	kind    kindOfCall
+	key     string
+	answers []told
+	runs    []string // servers that ran it, in order
+}
+
+// callHistory is what callers and servers saw. It judges from outside of the code under test.
+type callHistory struct {
+	mu    sync.Mutex // guards below
+	calls map[string]*callSeen
+	order []string
+}
+
+func newCallHistory() *callHistory { return &callHistory{calls: map[string]*callSeen{}} }
+
+func (h *callHistory) call(attempt string) *callSeen {
+	c := h.calls[attempt]
+	if c == nil {
+		c = &callSeen{}
+		h.calls[attempt] = c
+		h.order = append(h.order, attempt)
+	}
+	return c
+}
+
+func (h *callHistory) asked(attempt string, kind kindOfCall, key string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.call(attempt)
+	c.kind, c.key = kind, key
+}
+
+func (h *callHistory) ran(attempt, server string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.call(attempt)
+	c.runs = append(c.runs, server)
+}
+
+func (h *callHistory) answered(attempt string, t told) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.call(attempt)
+	c.answers = append(c.answers, t)
+}
+
+// runs is how often a call has run.
+func (h *callHistory) runs(attempt string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.call(attempt).runs)
+}
+
+// sealOf is what a server stamps the answer to a call with.
+func sealOf(attempt string) string { return "seal." + attempt }
+
+// violations are the rules that were broken: each call has one answer, its own; what may not be repeated runs once at the
+// most, for a key over all of its calls; 503, 429, 421 and 408 are told only of what never ran; a repeat's success is the
+// first run's answer.
+func (h *callHistory) violations() (l []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	wrong := func(format string, args ...any) { l = append(l, fmt.Sprintf(format, args...)) }
+	runsOfKey := map[string][]string{}
+	for _, attempt := range h.order {
+		if c := h.calls[attempt]; c.key != "" {
+			for range c.runs {
+				runsOfKey[c.key] = append(runsOfKey[c.key], attempt)
+			}
+		}
+	}
+	for key, runs := range runsOfKey {
+		if len(runs) > 1 {
+			wrong("TWICE: key %s ran as %v", key, runs)
+		}
+	}
+	for _, attempt := range h.order {
+		c := h.calls[attempt]
+		if len(c.answers) != 1 {
+			wrong("ANSWERS: %s has %d answers", attempt, len(c.answers))
+		}
+		if c.kind == onceCall && len(c.runs) > 1 {
+			wrong("TWICE: %s ran at %v", attempt, c.runs)
+		}
+		for _, t := range c.answers {
+			h.judge(attempt, c, t, runsOfKey[c.key], wrong)
+		}
+	}
+	return l
+}
+
+// judge looks at one answer. The caller holds the lock.
+func (h *callHistory) judge(attempt string, c *callSeen, t told, runsOfKey []string, wrong func(string, ...any)) {
+	if t.Status != 0 && t.Named != attempt {
+		wrong("MIXED: %s has the answer to %q", attempt, t.Named)
+	}
+	switch t.Status {
+	case 408, 421, 429, 503:
+		if c.kind != repeatableCall && len(c.runs) > 0 {
+			wrong("REFUSED: %s has run and is told %d", attempt, t.Status)
+		}
+		if t.Status == 503 && t.RetryAfter == "" {
+			wrong("REFUSED: %s is told 503 and not when to come back", attempt)
+		}
+	case 200:
+		ran := attempt
+		if c.key != "" && len(runsOfKey) == 1 {
+			ran = runsOfKey[0]
+		}
+		if t.Seal != sealOf(ran) || !strings.HasPrefix(t.Body, bodyOf(ran)) {
+			wrong("MIXED: %s has seal %q and body %.40q, wanted those of %s", attempt, t.Seal, t.Body, ran)
+		}
+		if len(h.calls[ran].runs) == 0 {
+			wrong("MIXED: %s has a success and never ran", attempt)
+		}
+	}
+}
+
+// bodyOf is what the answer to a call begins with.
+func bodyOf(attempt string) string { return "ran " + attempt + "\n" }
--- a/internal/exchange/line/inbound.go
+++ b/internal/exchange/line/inbound.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"hollyspur"
 	"hollyspur/internal/engine"
 	"hollyspur/internal/exchange/trunk"
@@ -194,6 +196,20 @@
 	return of.open[id]
 }
 
+// errIDTwice ends a trunk: answers on it could go to the wrong request.
+const errIDTwice = errors.ConstError("a request's id is in use")
+
+// enter notes a request that runs; false: its id is that of another.
+func (of *caller) enter(r *run) bool {
+	of.mu.Lock()
+	defer of.mu.Unlock()
+	if of.open[r.q.Id] != nil {
+		return false
+	}
+	of.open[r.q.Id] = r
+	return true
+}
+
 // begin has a request run. It returns at once.
 func (in *inbound) begin(of *caller, q *wire.RequestT) {
 	r := &run{in: in, of: of, q: q}
@@ -210,9 +226,11 @@
 		r.more = message.NewStream(nil, func(n int) { of.c.Send(&wire.CreditT{Id: q.Id, Bytes: uint32(n)}) })
 		r.more.Length = q.Length
 	}
-	of.mu.Lock()
-	of.open[q.Id] = r
-	of.mu.Unlock()
+	if !of.enter(r) {
+		cancel(nil)
+		of.c.Close(errIDTwice)
+		return
+	}
 	in.open.Add(1)
 	of.c.Open(1)
 	in.tally.begin(r.kind())
--- a/internal/exchange/line/line.go
+++ b/internal/exchange/line/line.go
@@ -53,7 +53,9 @@
 	clock engine.Clock
 	start time.Time
 	life  string // of this process, in tickets
-	ctx   context.Context
+	// tickets are how many were given out in this life
+	tickets atomic.Uint64
+	ctx     context.Context
 
 	front     atomic.Pointer[front.Front]
 	callers   *pool.Share
--- a/internal/exchange/line/outbound.go
+++ b/internal/exchange/line/outbound.go
@@ -192,7 +192,7 @@
 	}
 	out.Most = limits.MaxBodyBytes
 	if r.Kind == dialplan.Keyed {
-		o.ticket = l.life + o.attempt
+		o.ticket = l.ticket()
 	} else {
 		o.key = ""
 	}
@@ -202,6 +202,10 @@
 	return out, nil
 }
 
+// ticket names one call for the registers, in place of its Attempt-Id: a client that used an id twice would have two calls
+// pass for one, and a later try of the second would be granted what the first holds.
+func (l *Line) ticket() string { return l.life + strconv.FormatUint(l.tickets.Add(1), 36) }
+
 // Head implements front.Speech.
 func (l speech) Head(h http.Header, c *engine.Call, a engine.Answer) int {
 	o := c.Payload.(*message.Request).Note.(*order)
