--- a/internal/exchange/line/line.go
+++ b/internal/exchange/line/line.go
@@ -115,7 +115,7 @@
 	}
 	l.readiness = listen("Readiness", set.ListenAddrs.Readiness)
 	l.calls = listen("ControlPlane", set.ListenAddrs.ControlPlane)
-	l.trunks = listen("Inbound", set.ListenAddrs.Inbound)
+	l.trunks = listen("Inbound", set.TrunkListener(set.ListenAddrs.Inbound))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/exchange/register/register.go
+++ b/internal/exchange/register/register.go
@@ -83,7 +83,7 @@
 	if err := r.open(set); err != nil {
 		return nil, err
 	}
-	if r.trunks, err = net.Listen("tcp4", r.self.Addr); err != nil {
+	if r.trunks, err = net.Listen("tcp4", set.TrunkListener(r.self.Addr)); err != nil {
 		return nil, errors.Annotate(err, "trunks")
 	}
 	if r.calls, err = net.Listen("tcp4", set.ListenAddrs.ControlPlane); err != nil {
--- a/internal/exchange/settings/settings.go
+++ b/internal/exchange/settings/settings.go
@@ -46,6 +46,8 @@
 	Bounds            Bounds            `json:"Bounds"`
 	AppAddress        string            `json:"AppAddress" validate:"omitempty,hostname_port"`
 	Service           string            `json:"Service" validate:"max=256"`
+
+	listenTrunks string // of the command line; "": at the address that others know
 }
 
 // Listen are the addresses for what the role serves.
@@ -146,6 +148,23 @@
 	return fmt.Sprintf("%s:%d", host, s.RegisterPort())
 }
 
+// ListenTrunks has the process listen for trunks at host:port, and others know it by its address all the same.
+func (s *Settings) ListenTrunks(at string) error {
+	if _, err := net.ResolveTCPAddr("tcp4", at); err != nil {
+		return errors.Annotate(err, "the address to listen for trunks at")
+	}
+	s.listenTrunks = at
+	return nil
+}
+
+// TrunkListener is where a process that others know by an address listens for trunks.
+func (s Settings) TrunkListener(known string) string {
+	if s.listenTrunks != "" {
+		return s.listenTrunks
+	}
+	return known
+}
+
 // Seeds are the trunks of the registers that the file names.
 func (s Settings) Seeds() (l []string) {
 	for _, a := range s.SeedNodes {
--- a/internal/exchange/settings/settings_test.go
+++ b/internal/exchange/settings/settings_test.go
@@ -35,3 +35,17 @@
 	_, err = Parse([]byte("NodeName: [\n"))
 	assert.ErrorContains(t, err, "settings")
 }
+
+// A process listens for trunks where it was told to, and is known by the address of its settings all the same.
+func TestListenTrunks(t *testing.T) {
+	s, err := Parse([]byte(text))
+	assert.NilError(t, err)
+	known := s.RegisterTrunk("")
+	assert.Equal(t, s.TrunkListener(known), "10.1.0.38:7380")
+	for _, wrong := range []string{"10.1.0.38", "10.1.0.38:seven:1", "10.1.0.38:70000"} {
+		assert.ErrorContains(t, s.ListenTrunks(wrong), "listen for trunks")
+	}
+	assert.NilError(t, s.ListenTrunks("127.0.0.1:7001"))
+	assert.Equal(t, s.TrunkListener(known), "127.0.0.1:7001")
+	assert.Equal(t, s.RegisterTrunk(""), known)
+}
--- a/internal/exchange/switchroom/switchroom.go
+++ b/internal/exchange/switchroom/switchroom.go
@@ -31,6 +31,7 @@
 	Check    bool          `long:"check" description:"check the settings file and end"`
 	Standing string        `long:"standing" value-name:"FILE" description:"of a register: contracts and orders for maintenance, as JSON, that the leader places once there is a configuration"`
 	Ahead    time.Duration `long:"ahead" value-name:"DURATION" hidden:"yes" description:"of a register, for rehearsals: its time of day is ahead by so much"`
+	Trunks   string        `long:"listen-trunks" value-name:"HOST:PORT" description:"listen for trunks here, while others know the machine by the address of its settings: behind a relay, or where addresses are translated"`
 	Verbose  bool          `short:"v" long:"verbose" description:"write every line of the log, not only the ring when something goes wrong"`
 }
 
@@ -54,6 +55,9 @@
 	if err == nil {
 		set, text, err = read(path)
 	}
+	if err == nil && o.Trunks != "" {
+		err = set.ListenTrunks(o.Trunks)
+	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 		return 2
--- a/internal/rig/mesh/mesh.go
+++ b/internal/rig/mesh/mesh.go
@@ -51,6 +51,7 @@
 	asked     atomic.Uint64
 	seeds     []string
 	tolerance int
+	relay     *rig.Relay // on the ways between the machines; nil: there is none
 }
 
 // Build builds the mesh's programs into a folder.
@@ -69,8 +70,12 @@
 }
 
 func newMesh(dir string, registers, tolerance int, services ...string) (*Mesh, error) {
-	m := &Mesh{Dir: dir, tolerance: tolerance, Record: NewRecord(), net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(256))}
-	for range 6 { // ports that are free at this moment, on addresses that nobody else is likely to use
+	return begin(dir, registers, tolerance, nil, services...)
+}
+
+func begin(dir string, registers, tolerance int, relay *rig.Relay, services ...string) (*Mesh, error) {
+	m := &Mesh{Dir: dir, tolerance: tolerance, relay: relay, Record: NewRecord(), net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(256))}
+	for range portsUsed { // ports that are free at this moment, on addresses that nobody else is likely to use
 		l, err := net.Listen("tcp", m.net+".1:0")
 		if err != nil {
 			return nil, err
@@ -96,7 +101,7 @@
 
 // settings are what every machine is told alike.
 func (m *Mesh) settings(name, ip, zone string) map[string]any {
-	return map[string]any{"NodeName": name, "IpAddress": ip, "Zone": zone, "Region": "r", "InternalPortRange": []int{m.ports[1], m.ports[1] + 15},
+	return map[string]any{"NodeName": name, "IpAddress": ip, "Zone": zone, "Region": "r", "InternalPortRange": []int{m.ports[portRegisters], m.ports[portRegisters] + 15},
 		"SeedNodes": m.seeds, "HeartbeatS": beatEvery.Seconds(), "FaultTolerance": map[string]any{"Machines": m.tolerance},
 		"Bounds": map[string]any{"DrainS": 2, "GraceS": 3, "KeyWindowS": 60, "ConfigApplyS": 2, "AckS": 5, "RetryBudgetRatio": 0.2, "RetryWindowS": 10, "RetrySlack": 50},
 		"Limits": map[string]any{"MemoryMb": 256, "MaxFds": 1024}}
@@ -112,6 +117,9 @@
 	x.set["DataDir"] = filepath.Join(m.Dir, x.Name)
 	x.set["FirstStart"] = first
 	m.Registers = append(m.Registers, x)
+	if err := m.relayRegister(x); err != nil {
+		return x, err
+	}
 	return x, x.Start()
 }
 
@@ -126,6 +134,9 @@
 	x.set["ListenAddrs"] = x.listen
 	x.set["AppAddress"], x.set["Service"] = at(5), service
 	m.Lines = append(m.Lines, x)
+	if err := m.relayLine(x); err != nil {
+		return x, err
+	}
 	if err := x.Start(); err != nil {
 		return x, err
 	}
@@ -199,6 +210,9 @@
 		all.Go(x.Kill)
 	}
 	all.Wait()
+	if m.relay != nil {
+		m.relay.Close()
+	}
 }
 
 // Ready waits until all lines that run are.
