An order that was taken is acknowledged again, and another content of its version never

Cause: of an item only the version that stands was known. An order below it was acknowledged whatever it held, so two operators were both confirmed under one number once a third change stood (real registers: TestOperatorsRepeat on the code before, 'race-0 2 is acknowledged for both operators'); and one that was sent again after its service had been dropped was refused. Change: internal/mesh/operations, a pure History of an item's overtaken operations: version, digest of the content, log time; bounded by log time over all items (32,768 of 32 bytes), knowing what it has forgotten. patch judges a call by it before anything else; the leader asks Table.Admit before it proposes, and holds a call back while an entry that names one of its items is not applied. Which items stand still follows from the call and the items alone, so registers of both builds agree on them. Ruled out: a digest of the whole call (two calls with two contents of an item are two calls); the verdict where entries are applied (registers of the build before would take what the others refuse); a bound for each item. TestAllOrders and TestTablesAllOrders no longer excuse a second content below the version that stands.

--- a/internal/exchange/core/core.go
+++ b/internal/exchange/core/core.go
@@ -128,6 +128,9 @@
 // Applied is the index up to which Ready has given what is committed.
 func (c *Core) Applied() uint64 { return c.applied }
 
+// LastIndex is the index of the log's last entry, whether or not it is on disk.
+func (c *Core) LastIndex() uint64 { return c.last() }
+
 // Members are the voters of the latest configuration, without those that a joint change takes out, and its index.
 func (c *Core) Members() ([]Member, uint64) { return c.config.Members, c.config.Index }
 
--- a/internal/exchange/patch/fault.go
+++ b/internal/exchange/patch/fault.go
@@ -12,11 +12,13 @@
 )
 
 // Errors of this layer: the call's own fault; a version that has another content already, or a rule that another refuses; and
-// what is another's to change, or to consent to.
+// what is another's to change, or to consent to. ErrOpen: whether the call was taken before can't be told any more, so that it is
+// neither acknowledged nor refused.
 const (
 	ErrInvalid   = errors.ConstError("invalid")
 	ErrConflict  = errors.ConstError("conflict")
 	ErrForbidden = errors.ConstError("forbidden")
+	ErrOpen      = errors.ConstError("left open")
 )
 
 // Fault is what is wrong with a call: the item, the field of it, and what was wanted. It is an ErrInvalid.
--- a/internal/exchange/patch/patch.go
+++ b/internal/exchange/patch/patch.go
@@ -1,6 +1,7 @@
 // Package patch is the configuration as items: how an operator's call is read and checked, and how items are merged. It
-// is pure. An item's highest version holds; a lower or equal one changes nothing, but for an equal one with other content,
-// which is refused with all that came in the same call.
+// is pure. An item's highest version holds; a lower or equal one changes nothing. A version that was taken with one content
+// is refused with another, together with all that came in the same call, and a call that was taken is taken again without
+// effect whatever has been taken since.
 package patch
 
 import (
@@ -13,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"hollyspur/internal/exchange/classmark"
+	"hollyspur/internal/mesh/operations"
 )
 
 // Kind says what an item is.
@@ -52,7 +54,8 @@
 	// Stamp is the log's time at which it was dropped. Of those dropped the latest MostDropped are remembered.
 	Stamp time.Duration
 
-	rule *Rule // of a route that stands, as read once
+	rule    *Rule              // of a route that stands, as read once
+	history operations.History // of the item's earlier operations; only where calls are taken
 }
 
 // Rule is a route's content; nil: it is no route, or none that can be read.
@@ -72,12 +75,15 @@
 const (
 	MostItems   = 20_000
 	MostDropped = 8_192
+	// MostOperations are remembered of all items together, besides those that stand. The earliest by log time are forgotten.
+	MostOperations = 32_768
 )
 
 // Table is the configuration: each item's newest. It is never changed once made.
 type Table struct {
 	items   map[Name]Item
 	dropped int            // of items
+	history int            // operations that are remembered in all
 	ruled   int            // namespaces and rulings that stand
 	marks   *classmark.Set // of all of them, once it was made
 }
@@ -103,7 +109,7 @@
 // Merge takes what is newer; raised are the items that it changed. It never goes back, in whatever order it is told.
 func (t Table) Merge(items []Item) (_ Table, raised []Item) {
 	var next map[Name]Item
-	dropped, ruled := t.dropped, t.ruled
+	dropped, ruled, history := t.dropped, t.ruled, t.history
 	for _, i := range items {
 		was, is := t.items[i.Name]
 		if next != nil {
@@ -113,10 +119,7 @@
 			continue
 		}
 		if next == nil {
-			next = make(map[Name]Item, len(t.items)+len(items))
-			for n, o := range t.items {
-				next[n] = o
-			}
+			next = t.copied(len(items))
 		}
 		if was.Dropped {
 			dropped--
@@ -133,6 +136,7 @@
 			}
 		}
 		i.rule = i.Rule()
+		history += i.history.Len() - was.history.Len()
 		next[i.Name] = i
 		raised = append(raised, i)
 	}
@@ -140,15 +144,24 @@
 		return t, nil
 	}
 	if dropped > MostDropped {
-		forget(next, dropped-MostDropped)
+		history -= forget(next, dropped-MostDropped)
 		dropped = MostDropped
 	}
-	return Table{items: next, dropped: dropped, ruled: ruled}, raised
+	return Table{items: next, dropped: dropped, ruled: ruled, history: history}, raised
+}
+
+// copied is a copy of the items with room for more.
+func (t Table) copied(more int) map[Name]Item {
+	items := make(map[Name]Item, len(t.items)+more)
+	for n, i := range t.items {
+		items[n] = i
+	}
+	return items
 }
 
 // forget removes so many of the dropped items, the earliest first, by names where they were dropped together: alike on
-// every register.
-func forget(items map[Name]Item, n int) {
+// every register. It returns how many operations were forgotten with them.
+func forget(items map[Name]Item, n int) (operations int) {
 	var l []Item
 	for _, i := range items {
 		if i.Dropped {
@@ -162,8 +175,10 @@
 		return l[a].Kind < l[b].Kind || l[a].Kind == l[b].Kind && l[a].Name.Name < l[b].Name.Name
 	})
 	for _, i := range l[:n] {
+		operations += i.history.Len()
 		delete(items, i.Name)
 	}
+	return operations
 }
 
 // Apply takes items whole or not at all, as the mesh's operator's.
@@ -173,7 +188,44 @@
 }
 
 // Take takes a call whole or not at all. effects are what it changes of rules that others own.
+//
+// Which items stand follows from the call and the items alone; the history decides on the answer. So registers whose histories
+// differ agree on the items. A call that raises items and has a version of another that was taken with another content takes
+// effect and is not acknowledged (ErrOpen): Admit turns it down before it is proposed.
 func (t Table) Take(c Call) (_ Table, raised []Item, effects []classmark.Effect, err error) {
+	verdict, doubt := t.judgeCall(c)
+	if verdict == operations.Repeated || verdict == operations.Unknown {
+		return t, nil, nil, doubt
+	}
+	if err := t.unfit(c); err != nil {
+		return t, nil, nil, err
+	}
+	next, raised := t.Merge(c.Items)
+	if len(next.items)-next.dropped > MostItems {
+		return t, nil, nil, invalid("the call", "", "more than %d items would stand", MostItems)
+	}
+	if len(raised) > 0 && t.ruled+next.ruled > 0 || c.By != "" {
+		if effects, err = judge(&t, &next, raised, c); err != nil {
+			return t, nil, nil, err
+		}
+	}
+	switch {
+	case doubt == nil:
+		next = t.rememberLate(t.rememberRaised(next, raised), c)
+	case len(raised) == 0:
+		return t, nil, nil, doubt
+	default:
+		next = t.rememberRaised(next, raised)
+		doubt = errors.WithType(errors.Errorf("%v; the rest of the call has taken effect", doubt), ErrOpen)
+	}
+	if next.history > MostOperations {
+		next.forgetOperations(next.history - operationsKept)
+	}
+	return next, raised, effects, doubt
+}
+
+// unfit is what a call that was not taken before has against what stands; nil: nothing.
+func (t Table) unfit(c Call) error {
 	called := map[string]bool{}
 	for _, i := range c.Items {
 		if i.Kind == Service && !i.Dropped {
@@ -184,28 +236,19 @@
 		if i.Kind == Route && !i.Dropped {
 			r := i.Rule()
 			if r == nil {
-				return t, nil, nil, invalid("route "+i.Name.Name, "", "can't be read")
+				return invalid("route "+i.Name.Name, "", "can't be read")
 			}
 			for _, s := range r.Services() {
 				if was, is := t.items[Name{Service, s.Service}]; !called[s.Service] && (!is || was.Dropped) {
-					return t, nil, nil, invalid("route "+i.Name.Name, "ForwardAction", "the service %q is not known", s.Service)
+					return invalid("route "+i.Name.Name, "ForwardAction", "the service %q is not known", s.Service)
 				}
 			}
 		}
 		if was, is := t.items[i.Name]; is && was.Version == i.Version && !was.same(i) {
-			return t, nil, nil, errors.WithType(errors.Errorf("%s %s: version %d has another content already", i.Kind, i.Name.Name, i.Version), ErrConflict)
-		}
-	}
-	next, raised := t.Merge(c.Items)
-	if len(next.items)-next.dropped > MostItems {
-		return t, nil, nil, invalid("the call", "", "more than %d items would stand", MostItems)
-	}
-	if len(raised) > 0 && t.ruled+next.ruled > 0 || c.By != "" {
-		if effects, err = judge(&t, &next, raised, c); err != nil {
-			return t, nil, nil, err
+			return errors.WithType(errors.Errorf("%s %s: version %d has another content already", i.Kind, i.Name.Name, i.Version), ErrConflict)
 		}
 	}
-	return next, raised, effects, nil
+	return nil
 }
 
 func (i Item) same(o Item) bool {
--- a/internal/exchange/patch/patch_test.go
+++ b/internal/exchange/patch/patch_test.go
@@ -89,7 +89,7 @@
 			for k, v := range acked {
 				now[k] = v
 			}
-			if now[1] && now[2] && after.Version == 3 {
+			if now[1] && now[2] {
 				t.Fatal("both contents of version 3 were acknowledged")
 			}
 			rest := append(append([]int(nil), left[:n]...), left[n+1:]...)
@@ -205,15 +205,13 @@
 					trail: w.trail + fmt.Sprint(" call", i)}
 				if err == nil {
 					v.told = append(append([][]Item(nil), w.told...), calls[i])
-					// One that is lower than what stands is acknowledged without effect.
-					if version := calls[i][0].Version; version >= next.items[r].Version {
-						if was, is := w.acked[version]; is && was != i {
-							return len(seen), v.trail + ": two contents of one version are acknowledged"
-						}
-						v.acked = map[int64]int{version: i}
-						for k, x := range w.acked {
-							v.acked[k] = x
-						}
+					version := calls[i][0].Version // one that is lower than what stands is acknowledged, too
+					if was, is := w.acked[version]; is && was != i {
+						return len(seen), v.trail + ": two contents of one version are acknowledged"
+					}
+					v.acked = map[int64]int{version: i}
+					for k, x := range w.acked {
+						v.acked[k] = x
 					}
 				}
 				if i, is := w.acked[4]; is {
--- a/internal/exchange/patch/wire.go
+++ b/internal/exchange/patch/wire.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hollyspur/internal/exchange/trunk/wire"
+	"hollyspur/internal/mesh/operations"
 )
 
 // Wire words items for the trunk, and ItemsOf reads them.
@@ -34,6 +35,31 @@
 	return l
 }
 
+// Stored words a table for a register's disk, with the history of each item; Restore reads it.
+func Stored(t Table) []*wire.ItemT {
+	items := t.Items()
+	list := Wire(items).List
+	for n, i := range items {
+		list[n].Past = i.history.Encode()
+	}
+	return list
+}
+
+// Restore reads a stored table. Of an item that was stored without a history, by an earlier build or with one that can't be
+// read, nothing is known of the versions before the one that stands.
+func Restore(list []*wire.ItemT) Table {
+	items := ItemsOf(&wire.ItemsT{List: list})
+	for n, stored := range list {
+		history, err := operations.Decode(stored.Past)
+		if err != nil {
+			history = operations.Lost(stored.Version)
+		}
+		items[n].history = history
+	}
+	t, _ := Table{}.Merge(items)
+	return t
+}
+
 // Holds are the versions of all, for whoever asks how far a process is.
 func (t Table) Holds() (l []*wire.HoldsT) {
 	for _, i := range t.Items() {
--- a/internal/exchange/trunk/wire/Item.go
+++ b/internal/exchange/trunk/wire/Item.go
@@ -14,6 +14,7 @@
 	Host    string `json:"host"`
 	Body    []byte `json:"body"`
 	Stamp   int64  `json:"stamp"`
+	Past    []byte `json:"past"`
 }
 
 func (t *ItemT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -26,6 +27,10 @@
 	if t.Body != nil {
 		bodyOffset = builder.CreateByteString(t.Body)
 	}
+	pastOffset := flatbuffers.UOffsetT(0)
+	if t.Past != nil {
+		pastOffset = builder.CreateByteString(t.Past)
+	}
 	ItemStart(builder)
 	ItemAddKind(builder, t.Kind)
 	ItemAddName(builder, nameOffset)
@@ -34,6 +39,7 @@
 	ItemAddHost(builder, hostOffset)
 	ItemAddBody(builder, bodyOffset)
 	ItemAddStamp(builder, t.Stamp)
+	ItemAddPast(builder, pastOffset)
 	return ItemEnd(builder)
 }
 
@@ -45,6 +51,7 @@
 	t.Host = string(rcv.Host())
 	t.Body = rcv.BodyBytes()
 	t.Stamp = rcv.Stamp()
+	t.Past = rcv.PastBytes()
 }
 
 func (rcv *Item) UnPack() *ItemT {
@@ -181,8 +188,42 @@
 	return rcv._tab.MutateInt64Slot(16, n)
 }
 
+func (rcv *Item) Past(j int) byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.GetByte(a + flatbuffers.UOffsetT(j*1))
+	}
+	return 0
+}
+
+func (rcv *Item) PastLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Item) PastBytes() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *Item) MutatePast(j int, n byte) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.MutateByte(a+flatbuffers.UOffsetT(j*1), n)
+	}
+	return false
+}
+
 func ItemStart(builder *flatbuffers.Builder) {
-	builder.StartObject(7)
+	builder.StartObject(8)
 }
 func ItemAddKind(builder *flatbuffers.Builder, kind byte) {
 	builder.PrependByteSlot(0, kind, 0)
@@ -208,6 +249,12 @@
 func ItemAddStamp(builder *flatbuffers.Builder, stamp int64) {
 	builder.PrependInt64Slot(6, stamp, 0)
 }
+func ItemAddPast(builder *flatbuffers.Builder, past flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(7, flatbuffers.UOffsetT(past), 0)
+}
+func ItemStartPastVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(1, numElems, 1)
+}
 func ItemEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- /dev/null
+++ b/internal/mesh/operations/operations_test.go
@@ -0,0 +1,79 @@
+package operations
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+)
+
+func operation(version int64, content string) Operation {
+	return Operation{Version: version, Digest: DigestOf([]byte(content)), At: time.Duration(version) * time.Second}
+}
+
+// A history gives each operation its verdict, in whatever order they were taken, and after some were forgotten it says that
+// it can't tell rather than that they are new.
+func TestJudge(t *testing.T) {
+	var h History
+	for _, version := range []int64{5, 2, 9} {
+		h = h.With(operation(version, "x"))
+	}
+	h = h.With(operation(5, "y")) // a version is taken once
+	judge := func(version int64, content string) Verdict { return h.Judge(version, DigestOf([]byte(content))) }
+	assert.Equal(t, judge(5, "x"), Repeated)
+	assert.Equal(t, judge(5, "y"), Conflicting)
+	assert.Equal(t, judge(3, "x"), New)
+	before := h
+	h = h.Without(5).Without(5)
+	assert.Equal(t, judge(5, "x"), Unknown)
+	assert.Equal(t, judge(5, "y"), Unknown)
+	assert.Equal(t, judge(3, "z"), Unknown)
+	assert.Equal(t, judge(2, "x"), Repeated)
+	assert.Equal(t, judge(9, "y"), Conflicting)
+	assert.Equal(t, judge(6, "x"), New)
+	assert.Equal(t, before.Judge(5, DigestOf([]byte("x"))), Repeated) // a history that was made is not changed
+	h = Lost(7)
+	assert.Equal(t, judge(7, "x"), Unknown)
+	assert.Equal(t, judge(8, "x"), New)
+}
+
+// The digest of one content differs from that of the same bytes cut elsewhere.
+func TestDigestOf(t *testing.T) {
+	assert.Assert(t, DigestOf([]byte("ab"), []byte("c")) != DigestOf([]byte("a"), []byte("bc")))
+	assert.Assert(t, DigestOf([]byte("abc")) != DigestOf([]byte("abc"), nil))
+	assert.Equal(t, DigestOf([]byte("abc")), DigestOf([]byte("abc")))
+}
+
+// A history is read back as it was; what is none is refused.
+func TestEncode(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		var h History
+		for range random.IntN(9) {
+			h = h.With(operation(random.Int64N(40)-20, "x"))
+		}
+		if random.IntN(2) == 0 {
+			h = h.Without(random.Int64N(40) - 20)
+		}
+		encoded := h.Encode()
+		again, err := Decode(encoded)
+		assert.NilError(t, err)
+		for version := int64(-21); version <= 21; version++ {
+			for _, content := range []string{"x", "y"} {
+				assert.Equal(t, again.Judge(version, DigestOf([]byte(content))), h.Judge(version, DigestOf([]byte(content))))
+			}
+		}
+		for cut := range len(encoded) {
+			if (cut-headSize)%recordSize != 0 || cut < headSize {
+				_, err := Decode(encoded[:cut])
+				assert.Assert(t, errors.Is(err, ErrEncoding), "cut at %d of %d", cut, len(encoded))
+			}
+		}
+	}
+	twice := operation(3, "x")
+	encoded := History{taken: []Operation{twice, twice}}.Encode()
+	_, err := Decode(encoded)
+	assert.Assert(t, errors.Is(err, ErrEncoding))
+}
--- a/internal/mesh/replica/calls.go
+++ b/internal/mesh/replica/calls.go
@@ -47,6 +47,7 @@
 		p.done(Outcome{}, false)
 	}
 	r.proposals[index] = proposal{term, done}
+	r.proposed = index
 	return true
 }
 
@@ -108,27 +109,6 @@
 	r.env.AskReplica(leader, trunk.AskModify, body, done)
 }
 
-func (r *Replica) modifyAsLeader(body []byte, done func(Reply)) {
-	c, err := patch.ReadCall(body)
-	if err != nil {
-		done(StatusOf(err))
-		return
-	}
-	ok := r.Propose(r.now, Change(ChangeItems, patch.WireCall(c)), func(o Outcome, known bool) {
-		switch {
-		case !known:
-			done(Unavailable("another leader took over; it may still be taken"))
-		case o.Err != nil:
-			done(StatusOf(o.Err))
-		default:
-			done(Reply{Status: http.StatusOK})
-		}
-	})
-	if !ok {
-		done(Unavailable("not the leader any more"))
-	}
-}
-
 // Fetch reads the configuration, no older than anything acknowledged before the call; ok false: that can't be confirmed.
 func (r *Replica) Fetch(now time.Duration, done func(set patch.Set, ok bool)) {
 	r.Confirmed(now, func(ok bool) {
--- a/internal/mesh/replica/replica.go
+++ b/internal/mesh/replica/replica.go
@@ -94,6 +94,8 @@
 	held    bool // a maintenance order has this replica out
 
 	proposals map[uint64]proposal // by index
+	proposed  uint64              // the latest entry that this replica proposed
+	modifying modifying
 	reads     map[uint64]func(index uint64, ok bool)
 	nextRead  uint64
 	waiting   []waiter // for the state to come up to an entry
--- a/internal/mesh/replica/state.go
+++ b/internal/mesh/replica/state.go
@@ -96,7 +96,7 @@
 
 // Save words the state for a snapshot.
 func (s *State) Save() []byte {
-	t := &wire.StateT{Items: patch.Wire(s.Items.Items()).List}
+	t := &wire.StateT{Items: patch.Stored(s.Items)}
 	if s.Maintenance.Index > 0 || s.Maintenance.Clock.Known() {
 		t.Night, _ = json.Marshal(s.Maintenance) // of its own types, which have no other form
 	}
@@ -121,7 +121,7 @@
 	if err != nil {
 		return errors.Annotate(err, "the state of a snapshot")
 	}
-	s.Items, _ = s.Items.Merge(patch.ItemsOf(&wire.ItemsT{List: t.Items}))
+	s.Items = patch.Restore(t.Items)
 	if len(t.Night) > 0 {
 		if err := json.Unmarshal(t.Night, &s.Maintenance); err != nil {
 			return errors.Annotate(err, "the night service's state of a snapshot")
