Operators' slow calls, callers' limits as they were set, and tests of what servers say

Cause: (1) an operator's call was given 900 ms from its head on, so that one whose body takes longer to come over a slow link could never be acknowledged. (2) Limits beyond the library's own bounds did not hold: a caller's connection that rested was closed after 30 s whatever IdleTimeoutS said, a new one after 5 s, a head that took more than 5 s whatever HeaderTimeoutS said; a longer IdleTimeoutS did not reach those that rested already. Change: the time runs from when the call has come whole, with 30 s for that; a front's OwnTimes has Idle and HeadWithin alone bound callers' times (library: 10 and 2 minutes as a backstop), used by lines; cranegrade's fronts are as they were.

--- a/internal/exchange/control/control.go
+++ b/internal/exchange/control/control.go
@@ -42,11 +42,9 @@
 }
 
 // Handle makes a handler of a function from a call to its answer. The body holds most bytes at the most; the function has
-// so long.
+// so long from when the call has come whole: callers wait longer for a large body, and a slow link may take more than that for it.
 func Handle[C, A any](most int64, within time.Duration, f func(ctx context.Context, r *http.Request, call C) (A, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		ctx, cancel := context.WithTimeout(r.Context(), within)
-		defer cancel()
 		var call C
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 		if err != nil {
@@ -67,6 +65,8 @@
 				return
 			}
 		}
+		ctx, cancel := context.WithTimeout(r.Context(), within)
+		defer cancel()
 		a, err := f(ctx, r, call)
 		var e *Error
 		switch {
@@ -98,7 +98,16 @@
 	w.Write(p) // an error means that the caller has gone
 }
 
+// Bounds of a server of calls.
+const (
+	headWithin = 5 * time.Second
+	// callWithin is how long a call may take to come whole: the largest one takes 17 s over a link of 2 Mbit/s.
+	callWithin = 30 * time.Second
+	idleAtMost = 30 * time.Second
+	maxHead    = 16 << 10 // bytes
+)
+
 // Serve runs a server of calls on a listener's handler until it is closed.
 func Serve(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 16 << 10}
+	return &http.Server{Handler: h, ReadHeaderTimeout: headWithin, ReadTimeout: callWithin, IdleTimeout: idleAtMost, MaxHeaderBytes: maxHead}
 }
--- a/internal/exchange/control/control_test.go
+++ b/internal/exchange/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -35,3 +36,38 @@
 		assert.Assert(t, (w.Header().Get("Retry-After") != "") == (w.Code == 503))
 	}
 }
+
+// slowBody is a body that comes only once so much time has passed.
+type slowBody struct {
+	io.Reader
+	after time.Duration
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	<-time.After(b.after)
+	return b.Reader.Read(p)
+}
+
+// The time that a call is given runs from when it has come whole: one that takes long to come is answered as any other.
+func TestSlowBody(t *testing.T) {
+	const within = 100 * time.Millisecond
+	h := Handle(20, within, func(ctx context.Context, _ *http.Request, _ Raw) (None, error) {
+		if ctx.Err() != nil {
+			return None{}, Fault(http.StatusServiceUnavailable, "no time is left")
+		}
+		return None{}, nil
+	})
+	w := httptest.NewRecorder()
+	h(w, httptest.NewRequest("POST", "/", &slowBody{strings.NewReader("call"), 2 * within}))
+	assert.Equal(t, w.Code, http.StatusOK)
+}
+
+// A caller that is sent to another address follows with the same call: the answer says where, and is no other redirect.
+func TestElsewhere(t *testing.T) {
+	const target = "http://10.0.0.4:8080/path"
+	h := Handle(20, time.Minute, func(context.Context, *http.Request, Raw) (None, error) { return None{}, Elsewhere(target) })
+	w := httptest.NewRecorder()
+	h(w, httptest.NewRequest("POST", "/path", strings.NewReader("call")))
+	assert.Equal(t, w.Code, http.StatusTemporaryRedirect)
+	assert.Equal(t, w.Header().Get("Location"), target)
+}
--- a/internal/exchange/line/line.go
+++ b/internal/exchange/line/line.go
@@ -134,6 +134,7 @@
 	f.Speech = speech{l}
 	f.LookAhead()
 	f.Idle(callerIdle)
+	f.OwnTimes()
 	f.Heads(callerHeads)
 	l.front.Store(f)
 	go func() {
--- a/internal/front/http1/callers.go
+++ b/internal/front/http1/callers.go
@@ -31,7 +31,8 @@
 	front *Front                     // that looks ahead; nil: none does
 	idle  atomic.Int64               // ns that a connection may be idle; 0: as the library has it
 	// headIn is the ns that a request's head may take; 0: as the library has it
-	headIn atomic.Int64
+	headIn   atomic.Int64
+	ownTimes bool // idle and headIn alone bound callers' times; not changed once callers come
 }
 
 // caller is a caller's connection.
@@ -97,6 +98,9 @@
 		c.ahead = newAhead()
 	}
 	c.settle()
+	if l.ownTimes {
+		c.expireLater()
+	}
 	return c, nil
 }
 
@@ -262,7 +266,7 @@
 	case c.head.done && c.slow != nil:
 		c.slow.Stop()
 		c.slow = nil
-	case !c.head.done && c.slow == nil && d > 0 && d < headWithin:
+	case !c.head.done && c.slow == nil && d > 0 && (d < headWithin || c.of.ownTimes):
 		began := c.began.Load()
 		c.slow = time.AfterFunc(d, func() { c.tooSlow(began) })
 	}
@@ -321,17 +325,27 @@
 		c.leave()
 		c.settle()
 		c.of.hasRoom()
-		if d := time.Duration(c.of.idle.Load()); d > 0 {
-			since := c.since
-			time.AfterFunc(d, func() { c.expire(since) })
-		}
+		c.expireLater()
+	}
+}
+
+// expireLater has the connection closed once it has been quiet for as long as it may. The caller holds the lock.
+func (c *caller) expireLater() {
+	if d := time.Duration(c.of.idle.Load()); d > 0 {
+		since := c.since
+		time.AfterFunc(d-time.Since(since), func() { c.expire(since) })
 	}
 }
 
-// expire closes a connection that has been quiet since then, unless something of a request is here by now.
+// expire closes a connection that has been quiet since then, unless something of a request is here by now, or more time is
+// given than when it became quiet.
 func (c *caller) expire(since time.Time) {
 	c.of.mu.Lock()
 	defer c.of.mu.Unlock()
+	if c.place != nil && c.since.Equal(since) && time.Since(since) < time.Duration(c.of.idle.Load()) {
+		c.expireLater()
+		return
+	}
 	if c.place != nil && c.since.Equal(since) && c.began.Load() == 0 && (c.ahead == nil || c.ahead.open.Load() == 0) && peek.At(c.Conn) != nil {
 		c.close()
 	}
--- a/internal/front/http1/callers_test.go
+++ b/internal/front/http1/callers_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"hollyspur/internal/engine"
 	"hollyspur/internal/pool"
 	"hollyspur/internal/testkit"
 )
@@ -153,3 +154,64 @@
 	}
 	whole.Close()
 }
+
+// A front whose times are its own gives callers all of what was set, also where that is more than the library's bounds, to
+// connections that are new or have rested; what is set later holds for those that rest already.
+func TestOwnTimes(t *testing.T) {
+	t.Parallel()
+	b := pool.NewBudget(10)
+	share := b.NewShare()
+	if err := b.Configure(10, map[*pool.Share]pool.Quota{share: {}}); err != nil {
+		t.Fatal(err)
+	}
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	f := New(inner, engine.NewClock(), nil, share)
+	f.OwnTimes()
+	const idle, head = time.Minute, 10 * time.Second
+	f.Idle(idle)
+	f.HeadWithin(head)
+	if f.server.IdleTimeout <= idle || f.server.ReadHeaderTimeout <= head {
+		t.Error("the library gives", f.server.IdleTimeout, "and", f.server.ReadHeaderTimeout)
+	}
+	l := f.callers
+	caller := func() (net.Conn, *caller) {
+		far, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { far.Close() })
+		near, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return far, near.(*caller)
+	}
+	far, near := caller()
+	l.mu.Lock()
+	since := near.since
+	l.mu.Unlock()
+	near.expire(since) // as a timer does that was set when less was given
+	if l.open() != 1 {
+		t.Fatal("one that has just come is closed")
+	}
+	far.Write([]byte("GET / HTTP/1.1\r\n"))
+	if n, err := near.Read(make([]byte, 100)); n == 0 || err != nil {
+		t.Fatal(n, err)
+	}
+	if near.slow == nil {
+		t.Error("nothing bounds a head that may take longer than by the library")
+	}
+	near.Close()
+	// One that never says anything goes once its time is over, and not before.
+	const short = 50 * time.Millisecond
+	f.Idle(short)
+	began := time.Now()
+	far, _ = caller()
+	if _, err := far.Read(make([]byte, 1)); err == nil || time.Since(began) < short {
+		t.Error("closed after", time.Since(began), err)
+	}
+}
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -144,12 +144,32 @@
 // Heads sets how many bytes a request's head may have, before Serve.
 func (f *Front) Heads(n int) { f.server.MaxHeaderBytes = n }
 
+// Times for which the library waits in any case once Idle and HeadWithin bound callers' times.
+const (
+	libraryIdle = 10 * time.Minute
+	libraryHead = 2 * time.Minute
+)
+
+// OwnTimes has Idle and HeadWithin alone bound how long callers' connections may be idle, from when they come up, and how long
+// a head may take, before Serve: up to 10 and 2 minutes. Without it more than the bounds of New is never given.
+func (f *Front) OwnTimes() {
+	f.server.IdleTimeout, f.server.ReadHeaderTimeout = libraryIdle, libraryHead
+	f.callers.ownTimes = true
+	f.callers.idle.CompareAndSwap(0, int64(idleTimeout))
+	f.HeadWithin(0)
+}
+
 // Idle sets how long callers' connections may be idle, also while it serves.
 func (f *Front) Idle(d time.Duration) { f.callers.idle.Store(int64(d)) }
 
-// HeadWithin sets how long a request's head may take from its first byte, also while it serves; more than headWithin is
-// never given.
-func (f *Front) HeadWithin(d time.Duration) { f.callers.headIn.Store(int64(d)) }
+// HeadWithin sets how long a request's head may take from its first byte, also while it serves; 0: the bound of New. Without
+// OwnTimes more than that is never given.
+func (f *Front) HeadWithin(d time.Duration) {
+	if d == 0 && f.callers.ownTimes {
+		d = headWithin
+	}
+	f.callers.headIn.Store(int64(d))
+}
 
 // Serve serves until Shutdown, and then returns http.ErrServerClosed.
 func (f *Front) Serve() error {
