Linearizability: one write for all tries of a content

Change: all tries of one content of an item are one write, from the first try to the first acknowledgement. Exactly as strict: versions only rise, so after the first try took effect the others change nothing and are acknowledged rightly.

Ruled out: bounding the search and calling the rest undecided.

--- a/internal/mesh/history/linearizable.go
+++ b/internal/mesh/history/linearizable.go
@@ -90,16 +90,16 @@
 // itemOperations are the calls that bear on one item, and the return of the last one.
 func itemOperations(h *History, item Item) (operations []porcupine.Operation, last time.Duration) {
 	for _, c := range h.Changes {
-		content, names := find(c.Items, item)
-		if !names || c.Outcome == Refused {
-			continue
+		if _, names := find(c.Items, item); names && c.Outcome != Refused {
+			last = max(last, c.Return)
 		}
+	}
+	for _, c := range mergedChanges(h, item) {
 		returned := int64(c.Return)
 		if c.Outcome == Unknown {
 			returned = math.MaxInt64
 		}
-		last = max(last, c.Return)
-		operations = append(operations, porcupine.Operation{Input: registerInput{true, content}, Call: int64(c.Begin),
+		operations = append(operations, porcupine.Operation{Input: registerInput{true, c.content}, Call: int64(c.Begin),
 			Output: registerOutput{unknown: c.Outcome == Unknown}, Return: returned})
 	}
 	for _, f := range h.Fetches {
@@ -114,6 +114,41 @@
 	return operations, last
 }
 
+// mergedChange is all tries to write one content of an item, as one.
+type mergedChange struct {
+	Call
+	content ItemVersion
+}
+
+// mergedChanges has one write for all tries of each content, in order of their first tries. That is exactly as strict as all
+// of them: versions in force only rise, so once one try took effect the others change nothing and are acknowledged
+// rightly. The content takes effect, if at all, between the first try and the first acknowledgement; without one at any
+// time from the first try on. It keeps the search short: every lost answer would be open until the end of the run.
+func mergedChanges(h *History, item Item) (merged []mergedChange) {
+	place := map[ItemVersion]int{}
+	for _, c := range inOrder(h.Changes, func(c Change) time.Duration { return c.Begin }) {
+		content, names := find(c.Items, item)
+		if !names || c.Outcome == Refused {
+			continue
+		}
+		n, known := place[content]
+		if !known {
+			place[content] = len(merged)
+			merged = append(merged, mergedChange{c.Call, content})
+			continue
+		}
+		m := &merged[n]
+		switch {
+		case c.Outcome != Acknowledged:
+		case m.Outcome != Acknowledged:
+			m.Outcome, m.Return = Acknowledged, c.Return
+		default:
+			m.Return = min(m.Return, c.Return)
+		}
+	}
+	return merged
+}
+
 func find(versions []ItemVersion, item Item) (ItemVersion, bool) {
 	for _, v := range versions {
 		if v.Item == item {
