--- a/internal/mesh/replica/replica.go
+++ b/internal/mesh/replica/replica.go
@@ -8,6 +8,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -33,7 +34,7 @@
 
 // Bounds of a replica's state.
 const (
-	CompactAt        = 4096 // entries behind the snapshot
+	CompactAt        = 4096 // entries behind the snapshot, unless Config says otherwise
 	maxProposals     = 4096 // that wait for their entry
 	maxRemembered    = 64   // addresses of replicas that are no members
 	minReplicas      = 3
@@ -76,6 +77,7 @@
 	Seeds           []string
 	FaultsTolerated int // machines that may be lost; there are 2n+1 members, at least 3
 	RandomSeed      uint64
+	CompactAt       int // entries behind the snapshot at which there is a new one; 0: CompactAt
 	Log             zerolog.Logger
 }
 
@@ -107,6 +109,7 @@
 	leaderTold  core.ID
 	membersTold uint64 // index of the member list that sidecars were told
 	leaderless  Leaderless
+	compactAt   int
 }
 
 type proposal struct {
@@ -122,7 +125,7 @@
 // New returns a replica as its disk has it. The error is that of a state that can't be read.
 func New(c Config, env Environment, now time.Duration) (*Replica, error) {
 	r := &Replica{env: env, log: c.Log, self: core.Member{ID: c.Held.Self, Addr: c.Address}, seeds: c.Seeds, now: now,
-		proposals: map[uint64]proposal{}, reads: map[uint64]func(uint64, bool){}, known: map[string]bool{}, addresses: map[core.ID]string{}}
+		proposals: map[uint64]proposal{}, reads: map[uint64]func(uint64, bool){}, known: map[string]bool{}, addresses: map[core.ID]string{}, compactAt: cmp.Or(c.CompactAt, CompactAt)}
 	if err := r.state.Load(c.Held.Snapshot.Data); err != nil {
 		return nil, err
 	}
--- a/internal/mesh/replica/turn.go
+++ b/internal/mesh/replica/turn.go
@@ -42,7 +42,7 @@
 	r.applyAll(ready.Committed)
 	r.answerReads(ready.Reads)
 	r.wake()
-	if r.core.Logged() > CompactAt {
+	if r.core.Logged() > r.compactAt {
 		r.compact()
 	}
 	return true
--- /dev/null
+++ b/internal/mesh/sim/disk.go
@@ -0,0 +1,142 @@
+package sim
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"hollyspur/internal/exchange/core"
+	"hollyspur/internal/exchange/vault"
+)
+
+// DiskKind says how a replica's disk is simulated.
+type DiskKind string
+
+// Kinds of disks.
+const (
+	MemoryDisk DiskKind = "" // records in memory, each write kept or lost whole: the fast one
+)
+
+// errDiskFull is that of a write that the disk has no room for.
+const errDiskFull = errors.ConstError("no space left on device")
+
+// disk is what a replica's storage does. A write that returned is on disk, synced, unless the run has an error planted there.
+type disk interface {
+	read() (held vault.Held, empty bool, err error)
+	begin(self core.ID, snapshot core.Snapshot) error
+	save(ready core.Ready, last uint64) error
+	compact(snapshot core.Snapshot, from uint64) error
+	// crash ends the process, and takes power away with it, or not; ready is a write that was under way, nil: none.
+	crash(random *rand.Rand, ready *core.Ready, power bool)
+	// sync syncs what was written, where an error planted has left that out.
+	sync()
+	setFull(full bool)
+	// term is that of an entry that is on disk, synced; known is false where a snapshot stands for it.
+	term(index uint64) (term uint64, known, held bool)
+}
+
+// memoryDisk is a disk as records in memory. It belongs to one world.
+type memoryDisk struct {
+	synced   vault.Held
+	written  vault.Held // with what is not synced; only an error planted has it differ from synced
+	begun    bool
+	full     bool
+	deferred func(core.Ready) bool // a planted error: writes of this kind are not synced when they return
+}
+
+func (d *memoryDisk) read() (vault.Held, bool, error) {
+	if !d.begun {
+		return vault.Held{}, true, nil
+	}
+	h := d.written
+	h.Log = slices.Clone(h.Log)
+	return h, false, nil
+}
+
+func (d *memoryDisk) begin(self core.ID, s core.Snapshot) error {
+	if d.full {
+		return errDiskFull
+	}
+	d.written = vault.Held{Self: self, Snapshot: s}
+	d.synced, d.begun = d.written, true
+	return nil
+}
+
+func (d *memoryDisk) save(ready core.Ready, _ uint64) error {
+	if d.full {
+		return errDiskFull
+	}
+	d.written = withReady(d.written, ready)
+	if d.deferred == nil || !d.deferred(ready) {
+		d.sync()
+	}
+	return nil
+}
+
+func (d *memoryDisk) sync() {
+	d.synced = d.written // an append to one is not seen by the other, whose log is shorter
+}
+
+// withReady is what a disk holds once a Ready is written.
+func withReady(h vault.Held, ready core.Ready) vault.Held {
+	if ready.Hard != nil {
+		h.Hard = *ready.Hard
+	}
+	if ready.Snapshot != nil {
+		h.Snapshot, h.Log = *ready.Snapshot, nil
+	}
+	if n := len(ready.Entries); n > 0 {
+		keep := ready.Entries[0].Index - h.Snapshot.Index - 1
+		if keep < uint64(len(h.Log)) {
+			h.Log = slices.Clone(h.Log[:keep]) // others may still read what is replaced
+		}
+		h.Log = append(h.Log, ready.Entries...)
+	}
+	return h
+}
+
+func (d *memoryDisk) compact(s core.Snapshot, _ uint64) error {
+	if d.full {
+		return errDiskFull
+	}
+	h := d.written
+	if s.Index > h.Snapshot.Index {
+		h.Log = slices.Clone(h.Log[s.Index-h.Snapshot.Index:])
+		h.Snapshot = s
+	}
+	d.written = h
+	d.sync()
+	return nil
+}
+
+func (d *memoryDisk) crash(random *rand.Rand, ready *core.Ready, power bool) {
+	if ready != nil && random.IntN(2) == 0 { // it came whole, or not at all
+		d.written = withReady(d.written, *ready)
+		if d.deferred == nil {
+			d.sync()
+		}
+	}
+	if power {
+		d.written = d.synced
+		d.written.Log = slices.Clone(d.synced.Log) // what is appended from now on must not meet what was lost
+		return
+	}
+	d.sync()
+}
+
+func (d *memoryDisk) setFull(full bool) { d.full = full }
+
+func (d *memoryDisk) term(index uint64) (term uint64, known, held bool) {
+	if !d.begun {
+		return 0, false, false
+	}
+	if index <= d.synced.Snapshot.Index {
+		return 0, false, true // it was committed
+	}
+	n := index - d.synced.Snapshot.Index - 1
+	if n >= uint64(len(d.synced.Log)) {
+		return 0, false, false
+	}
+	return d.synced.Log[n].Term, true, true
+}
--- /dev/null
+++ b/internal/mesh/sim/faults.go
@@ -0,0 +1,282 @@
+package sim
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"hollyspur/internal/exchange/core"
+	"hollyspur/internal/mesh/history"
+)
+
+// lossRetry is how often the loss of a disk that the deployment does not bear yet is tried again.
+const lossRetry = 10 * time.Millisecond
+
+// carryOut begins a fault.
+func (w *World) carryOut(f Fault) {
+	w.trace("fault", string(f.Kind), f.Target, []byte(f.String()))
+	switch f.Kind {
+	case PowerAll:
+		for _, h := range w.replicas {
+			w.power(h, f.For)
+		}
+		return
+	case Slow:
+		extra := time.Duration(f.Count) * time.Millisecond
+		w.network.extra += extra
+		w.after(f.For, func() { w.network.extra -= extra })
+		return
+	case Disorder:
+		w.network.disorder = float64(f.Count) / 100
+		w.after(f.For, func() { w.network.disorder = 0 })
+		return
+	case Orders:
+		for _, o := range w.operators {
+			if o.name == f.Target {
+				o.flood(f.Count)
+			}
+		}
+		return
+	}
+	if s := w.sidecarNamed(f.Target); s != nil {
+		w.sidecarFault(s, f)
+	} else if h := w.replicaFor(f.Target); h != nil {
+		w.replicaFault(h, f)
+	}
+}
+
+// endFaults ends all faults that are still on.
+func (w *World) endFaults() {
+	w.network.extra, w.network.disorder = 0, 0
+	for d := range w.network.cuts {
+		w.network.cuts[d] = 1
+	}
+	for _, from := range w.processes {
+		for _, to := range w.processes {
+			if !w.network.open(from, to) {
+				w.network.heal(from, to)
+			}
+		}
+	}
+	for _, h := range w.replicas {
+		h.stalled = false
+		h.disk.setFull(false)
+		h.thaw()
+		h.start()
+	}
+	for _, s := range w.sidecars {
+		s.thaw()
+		s.begin()
+	}
+	w.trace("fault", "end", "", nil)
+	w.observer.noteContacts()
+	w.observer.recovering()
+}
+
+func (w *World) sidecarNamed(name string) *sidecar {
+	for _, s := range w.sidecars {
+		if s.name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// replicaFor is the replica of a name or a role; nil: there is none.
+func (w *World) replicaFor(target string) *replicaHost {
+	var leader, first, last, joiner *replicaHost
+	for _, h := range w.replicas {
+		if h.name == target {
+			return h
+		}
+		if h.replica == nil || h.removed {
+			continue
+		}
+		if h.replica.Leads() && (leader == nil || h.replica.Term() > leader.replica.Term()) {
+			leader = h
+		}
+	}
+	for _, h := range w.replicas {
+		if h.replica == nil || h.removed || h == leader {
+			continue
+		}
+		if first == nil {
+			first = h
+		}
+		last = h
+		if !w.observer.votes(h) {
+			joiner = h
+		}
+	}
+	switch target {
+	case RoleLeader:
+		return leader
+	case RoleFollower:
+		return first
+	case RoleJoiner:
+		if joiner != nil {
+			return joiner
+		}
+		return last
+	case RoleLast:
+		return last
+	}
+	return nil
+}
+
+func (o *observer) votes(h *replicaHost) bool {
+	return slices.ContainsFunc(slices.Concat(o.voters.members, o.voters.outgoing), func(m core.Member) bool { return o.holder(m.ID) == h })
+}
+
+func (w *World) replicaFault(h *replicaHost, f Fault) {
+	if h.removed {
+		return
+	}
+	switch f.Kind {
+	case Cut, CutIn, CutOut:
+		w.cut(h.process, f)
+	case Reset:
+		w.reset(h.process)
+	case KillIt:
+		h.stop(false)
+		w.observer.fault(h.process, history.Kill)
+		w.after(f.For, h.start)
+	case Power:
+		w.power(h, f.For)
+	case WipeIt, Replace, Leave:
+		w.lose(h, f)
+	case FreezeIt, Suspend:
+		if f.Kind == Suspend {
+			h.suspend()
+		} else {
+			h.freeze()
+		}
+		w.observer.fault(h.process, history.Freeze)
+		w.after(f.For, func() {
+			h.thaw()
+			w.observer.fault(h.process, history.Thaw)
+		})
+	case Stall:
+		h.stalled = true
+		w.after(f.For, func() { h.stalled = false })
+	case Full:
+		h.disk.setFull(true)
+		w.after(f.For, func() { h.disk.setFull(false) })
+	}
+}
+
+func (w *World) power(h *replicaHost, off time.Duration) {
+	if h.removed {
+		return
+	}
+	h.stop(true)
+	w.observer.fault(h.process, history.PowerLoss)
+	w.after(off, h.start)
+}
+
+// lose takes a disk away, now or as soon as the deployment bears it.
+func (w *World) lose(h *replicaHost, f Fault) {
+	if h.removed {
+		return
+	}
+	if !f.Force && !w.observer.mayLose(h) {
+		w.after(lossRetry, func() {
+			if w.observer.target == 0 { // else the time of faults is over
+				w.lose(h, f)
+			}
+		})
+		return
+	}
+	switch f.Kind {
+	case Replace:
+		h.stop(true)
+		w.replace(h, f.For, history.Remove)
+		return
+	case Leave:
+		h.leave(func() { w.replace(h, f.For, history.Remove) })
+		return
+	}
+	h.stop(true)
+	h.disk = w.newDisk()
+	if !w.options.Planted.IdentityAfterWipe {
+		h.lastID = 0
+	}
+	h.founder = false
+	w.trace("wiped", h.name, "", nil)
+	w.observer.fault(h.process, history.Wipe)
+	w.after(f.For, h.start)
+}
+
+// replace removes a machine for good and has another take its place after a time.
+func (w *World) replace(h *replicaHost, after time.Duration, kind history.FaultKind) {
+	if h.removed {
+		return
+	}
+	h.removed = true
+	w.trace("removed", h.name, "", nil)
+	w.observer.fault(h.process, kind)
+	next := w.newReplica(nil, false)
+	next.seeds = w.replicaAddresses()
+	w.after(after, next.start)
+}
+
+func (w *World) sidecarFault(s *sidecar, f Fault) {
+	switch f.Kind {
+	case Cut, CutIn, CutOut:
+		w.cut(s.process, f)
+	case Reset:
+		w.reset(s.process)
+	case KillIt, Power:
+		s.stop(f.Kind == Power)
+		w.observer.fault(s.process, history.Kill)
+		w.after(f.For, s.begin)
+	case FreezeIt:
+		s.freeze()
+		w.observer.fault(s.process, history.Freeze)
+		w.after(f.For, s.thaw)
+	}
+}
+
+func (w *World) reset(p *process) {
+	for _, e := range append([]*end(nil), p.ends...) {
+		peer := e.peer
+		e.lose()
+		peer.lose()
+	}
+}
+
+// cut cuts a process off from its peers, one way or both.
+func (w *World) cut(p *process, f Fault) {
+	peers := w.peers(p, f.Peers)
+	each := func(do func(from, to *process)) {
+		for _, o := range peers {
+			if f.Kind != CutIn {
+				do(p, o)
+			}
+			if f.Kind != CutOut {
+				do(o, p)
+			}
+		}
+	}
+	each(w.network.cut)
+	w.observer.fault(p, history.Cut)
+	w.after(f.For, func() {
+		if w.observer.target > 0 {
+			return // all cuts are healed
+		}
+		each(w.network.heal)
+		w.observer.fault(p, history.Heal)
+	})
+}
+
+func (w *World) peers(p *process, which string) (l []*process) {
+	for _, o := range w.processes {
+		isReplica := strings.HasPrefix(o.name, "replica")
+		switch {
+		case o == p:
+		case which == "" || which == PeersAll, which == PeersReplicas && isReplica, which == PeersClients && !isReplica, which == o.name:
+			l = append(l, o)
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/internal/mesh/sim/items.go
@@ -0,0 +1,81 @@
+package sim
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strings"
+
+	"hollyspur/internal/exchange/patch"
+	"hollyspur/internal/mesh/history"
+)
+
+// itemNames is how many services the operators configure: few, so that calls meet.
+const itemNames = 6
+
+// itemVersion is an item as histories know it.
+func itemVersion(i patch.Item) history.ItemVersion {
+	v := history.ItemVersion{Item: history.Item{Kind: i.Kind.String(), Name: i.Name.Name}, Version: i.Version, Dropped: i.Dropped}
+	if !i.Dropped {
+		h := fnv.New32a()
+		h.Write([]byte(i.Host))
+		h.Write(i.Body)
+		v.Digest = fmt.Sprintf("%08x", h.Sum32())
+	}
+	return v
+}
+
+func itemVersions(items []patch.Item) []history.ItemVersion {
+	l := make([]history.ItemVersion, 0, len(items))
+	for _, i := range items {
+		l = append(l, itemVersion(i))
+	}
+	return l
+}
+
+// draft is one item of a call.
+type draft struct {
+	name    string
+	version int64
+	content int
+	drop    bool
+}
+
+// draftCall words an operator's call of one or two items. Most carry the next version of an item; some a version that another
+// operator has used, with another content; some drop the item.
+func (w *World) draftCall() []byte {
+	first := w.random.IntN(itemNames)
+	drafts := []draft{w.draftItem(first)}
+	if w.chance(0.3) {
+		drafts = append(drafts, w.draftItem((first+1+w.random.IntN(itemNames-1))%itemNames))
+	}
+	return wordCall(drafts)
+}
+
+func (w *World) draftItem(n int) draft {
+	d := draft{name: fmt.Sprintf("service%d", n), content: 1 + w.random.IntN(1000), drop: w.chance(0.1)}
+	d.version = w.versions[d.name]
+	if d.version == 0 || !w.chance(0.12) {
+		d.version++
+		w.versions[d.name] = d.version
+	}
+	return d
+}
+
+func wordCall(drafts []draft) []byte {
+	var upserts, drops []string
+	for _, d := range drafts {
+		if d.drop {
+			drops = append(drops, fmt.Sprintf(`{"Name":%q,"ConfigVersion":%d}`, d.name, d.version))
+		} else {
+			upserts = append(upserts, fmt.Sprintf(`{"Name":%q,"HealthPath":"/health","MaxConnections":%d,"ConfigVersion":%d}`, d.name, d.content, d.version))
+		}
+	}
+	var parts []string
+	if len(upserts) > 0 {
+		parts = append(parts, `"Upsert":{"ListenerList":[],"UpstreamGroups":[`+strings.Join(upserts, ",")+`]}`)
+	}
+	if len(drops) > 0 {
+		parts = append(parts, `"Remove":{"UpstreamGroups":[`+strings.Join(drops, ",")+`]}`)
+	}
+	return []byte("{" + strings.Join(parts, ",") + "}")
+}
--- /dev/null
+++ b/internal/mesh/sim/link.go
@@ -0,0 +1,162 @@
+package sim
+
+import (
+	"time"
+
+	"hollyspur/internal/exchange/directory"
+	"hollyspur/internal/exchange/trunk"
+	"hollyspur/internal/exchange/trunk/wire"
+	"hollyspur/internal/mesh/replica"
+)
+
+// Bounds of a link, as the shell in production has them.
+const (
+	linkRest    = 200 * time.Millisecond // between two dials
+	maxLinkHeld = 32                     // messages that wait while it is dialled; the latest
+)
+
+// link is a replica's connection to another one, dialled when there is something to say, and kept.
+type link struct {
+	host    *replicaHost
+	address string
+	end     *end
+	dialing bool
+	rest    time.Duration // of the host's clock: no dial before
+	held    [][]byte
+	asks    asks
+}
+
+// link is the one to an address.
+func (h *replicaHost) link(address string) *link {
+	l := h.links[address]
+	if l == nil {
+		l = &link{host: h, address: address}
+		h.links[address] = l
+		h.linkList = append(h.linkList, l)
+	}
+	return l
+}
+
+func (l *link) connect() *end {
+	if l.end != nil && l.end.open {
+		return l.end
+	}
+	h := l.host
+	if !l.dialing && h.now() >= l.rest {
+		l.dialing = true
+		hello := &wire.HelloT{Name: h.name, Addr: h.address, Register: true, Member: uint64(h.replica.Self().ID)}
+		h.world.network.dial(h.process, l.address, hello, l.dialed)
+	}
+	return nil
+}
+
+func (l *link) dialed(e *end) {
+	h := l.host
+	l.dialing = false
+	l.rest = h.now() + linkRest
+	held := l.held
+	l.held = nil
+	if e == nil {
+		return
+	}
+	l.end = e
+	e.message = func(m trunk.Message) {
+		if t, is := m.Value.(*wire.ToldT); is {
+			l.asks.told(t)
+		}
+	}
+	e.closed = func() {
+		l.end = nil
+		l.asks.fail()
+	}
+	for _, frame := range held {
+		e.sendFrame(frame)
+	}
+	e.send(directory.Wire(h.replica.Records().All()))
+}
+
+// send sends a frame, or holds it while the link is dialled.
+func (l *link) send(frame []byte) {
+	if e := l.connect(); e != nil {
+		e.sendFrame(frame)
+		return
+	}
+	l.hold(frame)
+}
+
+// sendLoose sends a frame that may be lost.
+func (l *link) sendLoose(frame []byte) {
+	if e := l.connect(); e != nil {
+		e.sendLoose(frame)
+		return
+	}
+	l.hold(frame)
+}
+
+func (l *link) hold(frame []byte) {
+	if !l.dialing {
+		return
+	}
+	if len(l.held) >= maxLinkHeld {
+		l.held = l.held[1:]
+	}
+	l.held = append(l.held, frame)
+}
+
+func (l *link) ask(kind byte, body []byte, done func(replica.Reply)) {
+	e := l.connect()
+	if e == nil {
+		l.host.after(0, func() { done(replica.Unavailable("no connection")) })
+		return
+	}
+	l.asks.ask(l.host.process, e, replica.AnswerWithin, kind, body, done)
+}
+
+// asks are calls over one connection that wait for their answers.
+type asks struct {
+	next uint64
+	open []*openAsk
+}
+
+type openAsk struct {
+	id   uint64
+	done func(replica.Reply)
+}
+
+// ask calls; done is called once, by the caller's process.
+func (a *asks) ask(caller *process, e *end, within time.Duration, kind byte, body []byte, done func(replica.Reply)) {
+	a.next++
+	id := a.next
+	a.open = append(a.open, &openAsk{id, done})
+	e.send(&wire.AskT{Id: id, Kind: kind, Body: body})
+	caller.after(within, func() {
+		if x := a.take(id); x != nil {
+			x.done(replica.Unavailable("no answer in time"))
+		}
+	})
+}
+
+func (a *asks) take(id uint64) *openAsk {
+	for i, x := range a.open {
+		if x.id == id {
+			a.open = append(a.open[:i], a.open[i+1:]...)
+			return x
+		}
+	}
+	return nil
+}
+
+func (a *asks) told(t *wire.ToldT) {
+	if x := a.take(t.Id); x != nil {
+		x.done(replica.Reply{Status: int(t.Status), Body: t.Body})
+	}
+}
+
+// fail answers all that wait: the connection is lost.
+func (a *asks) fail() {
+	open := a.open
+	a.open = nil
+	for _, x := range open {
+		x.done(replica.Unavailable("the connection was lost"))
+	}
+}
--- /dev/null
+++ b/internal/mesh/sim/observer.go
@@ -0,0 +1,276 @@
+package sim
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"time"
+
+	"hollyspur/internal/exchange/core"
+	"hollyspur/internal/exchange/patch"
+	"hollyspur/internal/exchange/trunk"
+	"hollyspur/internal/exchange/vault"
+	"hollyspur/internal/mesh/history"
+	"hollyspur/internal/mesh/replica"
+)
+
+// Bounds that runs are judged by.
+const (
+	leftBehindBound  = 2 * time.Second // a replica that a majority has left behind hands out no configuration after this
+	catchUpBound     = recoverWithin
+	acknowledgeBound = 4 * time.Second // in settled times
+)
+
+// checkConvergence is the name of the observer's own check: what stands once all faults are over.
+const checkConvergence = "convergence"
+
+// observer sees the run from outside and records what it sees.
+type observer struct {
+	world      *World
+	seen       map[*replicaHost]*sight
+	voters     voterSet // the latest that was committed
+	maxTerm    uint64
+	contact    map[*replicaHost]bool
+	target     uint64 // applied index that all have to come up to
+	catching   map[*replicaHost]bool
+	violations []history.Violation
+}
+
+// sight is what was last seen of a replica.
+type sight struct {
+	life, term uint64
+	pending    []voterSet // in its log, committed or not, in order
+}
+
+// voterSet is who votes from an entry on. While there are outgoing members a majority of both is needed.
+type voterSet struct {
+	index    uint64
+	members  []core.Member
+	outgoing []core.Member
+}
+
+// quorum says whether those counted are one.
+func (v voterSet) quorum(counts func(core.ID) bool) bool {
+	return majority(v.members, counts) && (len(v.outgoing) == 0 || majority(v.outgoing, counts))
+}
+
+func majority(members []core.Member, counts func(core.ID) bool) bool {
+	n := 0
+	for _, m := range members {
+		if counts(m.ID) {
+			n++
+		}
+	}
+	return n > len(members)/2
+}
+
+func ids(members []core.Member) (l []uint64) {
+	for _, m := range members {
+		l = append(l, uint64(m.ID))
+	}
+	return l
+}
+
+func (o *observer) sightOf(h *replicaHost) *sight {
+	if o.seen == nil {
+		o.seen, o.contact, o.catching = map[*replicaHost]*sight{}, map[*replicaHost]bool{}, map[*replicaHost]bool{}
+	}
+	s := o.seen[h]
+	if s == nil {
+		s = &sight{}
+		o.seen[h] = s
+	}
+	if s.life != h.life {
+		*s = sight{life: h.life}
+	}
+	return s
+}
+
+// beforeTurn sees an election before the leader's first entry is written.
+func (o *observer) beforeTurn(h *replicaHost) {
+	s := o.sightOf(h)
+	if !h.replica.Leads() || s.term == h.replica.Term() {
+		return
+	}
+	s.term = h.replica.Term()
+	leader := history.Leader{At: o.world.now, Process: h.name, ID: uint64(h.replica.Self().ID), Term: s.term, LastIndex: h.replica.Logged()}
+	if s.term < o.maxTerm {
+		leader.LastIndex = 0 // its votes came late: a later leader may have had more agreed on by then
+	}
+	o.maxTerm = max(o.maxTerm, s.term)
+	o.world.history.Record(leader)
+	o.world.trace("leader", h.name, "", []byte{byte(s.term)})
+}
+
+// started sees what a replica begins with.
+func (o *observer) started(h *replicaHost, held vault.Held) {
+	s := o.sightOf(h)
+	s.pending = nil
+	o.logged(h, core.Ready{Snapshot: &held.Snapshot, Entries: held.Log})
+}
+
+// logged sees what a replica writes.
+func (o *observer) logged(h *replicaHost, ready core.Ready) {
+	s := o.sightOf(h)
+	if x := ready.Snapshot; x != nil && x.Index > 0 {
+		s.pending = []voterSet{{x.View, x.Members, x.Outgoing}}
+	}
+	for i, e := range ready.Entries {
+		if i == 0 {
+			s.pending = slices.DeleteFunc(s.pending, func(v voterSet) bool { return v.index >= e.Index })
+		}
+		if e.Kind == core.View {
+			s.pending = append(s.pending, voterSet{e.Index, e.Members, e.Outgoing})
+		}
+	}
+}
+
+// afterTurn sees which members are agreed on, and who has caught up.
+func (o *observer) afterTurn(h *replicaHost) {
+	s := o.sightOf(h)
+	for len(s.pending) > 0 && s.pending[0].index <= h.replica.Applied() {
+		v := s.pending[0]
+		s.pending = s.pending[1:]
+		o.world.history.Record(history.Members{At: o.world.now, Process: h.name, Index: v.index, Voters: ids(v.members), Outgoing: ids(v.outgoing)})
+		if v.index > o.voters.index {
+			o.voters = v
+			o.world.trace("members", h.name, fmt.Sprint(v.members, v.outgoing), nil)
+			o.noteContacts()
+		}
+	}
+	if o.catching[h] && h.replica.Applied() >= o.target {
+		delete(o.catching, h)
+		o.world.history.Record(history.CatchUp{At: o.world.now, Process: h.name, Ended: true})
+	}
+}
+
+// holder is the replica whose disk is that of a member; nil: that disk is lost.
+func (o *observer) holder(id core.ID) *replicaHost {
+	for _, h := range o.world.replicas {
+		if !h.removed && h.lastID == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// acknowledged sees an order acknowledged by the leader.
+func (o *observer) acknowledged(h *replicaHost) {
+	index := h.replica.Applied()
+	event := history.Synced{At: o.world.now, Index: index, Tolerance: replicaFault}
+	term, known, _ := h.disk.term(index)
+	members, _ := h.replica.Members()
+	for _, m := range members {
+		event.Counted = append(event.Counted, uint64(m.ID))
+		held := o.holder(m.ID)
+		if held == nil {
+			continue
+		}
+		other, otherKnown, is := held.disk.term(index)
+		if is && (!known || !otherKnown || term == other) {
+			event.Disks = append(event.Disks, uint64(m.ID))
+		}
+	}
+	o.world.history.Record(event)
+}
+
+// mayLose says whether the deployment promises to bear the loss of a replica's disk now: a quorum of the voters keep theirs.
+func (o *observer) mayLose(h *replicaHost) bool {
+	return o.voters.quorum(func(id core.ID) bool {
+		held := o.holder(id)
+		return held != nil && held != h && !held.leaving
+	})
+}
+
+// noteContacts records who can exchange messages with a quorum. It is to be called after each fault and its end.
+func (o *observer) noteContacts() {
+	for _, h := range o.world.replicas {
+		o.sightOf(h)
+		quorum := o.voters.quorum(func(id core.ID) bool {
+			other := o.holder(id)
+			return other != nil && o.reach(h, other)
+		})
+		if was, known := o.contact[h]; !known || was != quorum {
+			o.contact[h] = quorum
+			o.world.history.Record(history.Contact{At: o.world.now, Process: h.name, Majority: quorum})
+		}
+	}
+}
+
+func (o *observer) reach(a, b *replicaHost) bool {
+	n := &o.world.network
+	return a.up && b.up && !a.frozen && !b.frozen && (a == b || n.open(a.process, b.process) && n.open(b.process, a.process))
+}
+
+func (o *observer) fault(p *process, kind history.FaultKind) {
+	o.world.history.Record(history.Fault{At: o.world.now, Process: p.name, Kind: kind})
+	o.noteContacts()
+}
+
+// recovering begins the time in which all have to catch up.
+func (o *observer) recovering() {
+	o.target = 0
+	for _, h := range o.world.replicas {
+		if h.replica != nil {
+			o.target = max(o.target, h.replica.Applied())
+		}
+	}
+	for _, h := range o.world.replicas {
+		if !h.removed {
+			o.sightOf(h)
+			o.catching[h] = true
+			o.world.history.Record(history.CatchUp{At: o.world.now, Process: h.name})
+		}
+	}
+}
+
+func (o *observer) settled(from, to time.Duration) {
+	o.world.history.Record(history.Settled{From: from, To: to})
+}
+
+// atEnd judges what stands at the end: all replicas are members, and their states are the same.
+func (o *observer) atEnd() (broken []history.Violation) {
+	w := o.world
+	violate := func(format string, args ...any) {
+		broken = append(broken, history.Violation{Checker: checkConvergence, At: w.now, Text: fmt.Sprintf(format, args...)})
+	}
+	var first *replica.Replica
+	leaders := 0
+	for _, h := range w.replicas {
+		switch {
+		case h.removed:
+			continue
+		case h.replica == nil:
+			violate("%s does not run", h.name)
+			continue
+		case h.replica.Touched() == 0:
+			violate("%s is not in touch", h.name)
+		}
+		if h.replica.Leads() {
+			leaders++
+		}
+		members, _ := h.replica.Members()
+		if len(members) != w.options.Replicas || !slices.Contains(members, h.replica.Self()) {
+			violate("the members are %v as %s knows", members, h.name)
+		}
+		if first == nil {
+			first = h.replica
+		} else if first.Applied() == h.replica.Applied() && !sameItems(first, h.replica) {
+			violate("%s has another state than the first replica at entry %d", h.name, first.Applied())
+		}
+	}
+	if leaders != 1 {
+		violate("%d replicas lead", leaders)
+	}
+	for _, s := range w.sidecars {
+		if !s.touch {
+			violate("%s is not in touch", s.name)
+		}
+	}
+	return broken
+}
+
+// sameItems says that two replicas hold the same configuration. Their keys may differ by those whose windows have ended.
+func sameItems(a, b *replica.Replica) bool {
+	return bytes.Equal(trunk.Bytes(patch.Wire(a.State().Items.Items())), trunk.Bytes(patch.Wire(b.State().Items.Items())))
+}
--- /dev/null
+++ b/internal/mesh/sim/plan.go
@@ -0,0 +1,161 @@
+package sim
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Kind says what a fault is.
+type Kind string
+
+// Kinds of faults. Target and Peers name processes, or roles that are looked up when the fault begins.
+const (
+	Cut      Kind = "cut"     // nothing passes between Target and Peers, for For
+	CutIn    Kind = "cut-in"  // nothing comes to Target from Peers
+	CutOut   Kind = "cut-out" // nothing goes from Target to Peers
+	Reset    Kind = "reset"   // all connections of Target are reset
+	KillIt   Kind = "kill"    // the process ends, and starts again after For
+	Power    Kind = "power"   // the machine loses power, and starts again after For
+	PowerAll Kind = "power-all"
+	WipeIt   Kind = "wipe"    // the disk is lost, and the process starts again after For
+	Replace  Kind = "replace" // the machine is lost for good; after For another one takes its place, at another address
+	Leave    Kind = "leave"   // the process is told to end; after For another machine takes its place
+	FreezeIt Kind = "freeze"  // the process stands still for For
+	Suspend  Kind = "suspend" // the machine does, and its clock
+	Stall    Kind = "stall"   // the disk answers nothing for For
+	Full     Kind = "full"    // the disk has no room for For
+	Slow     Kind = "slow"    // every message takes Count more milliseconds, for For
+	Disorder Kind = "disorder"
+	Orders   Kind = "orders" // Target, an operator, sends Count orders as fast as they are taken
+)
+
+var kinds = []Kind{Cut, CutIn, CutOut, Reset, KillIt, Power, PowerAll, WipeIt, Replace, Leave, FreezeIt, Suspend, Stall, Full, Slow, Disorder, Orders}
+
+// Roles that a Target may have.
+const (
+	RoleLeader   = "leader"
+	RoleFollower = "follower" // the first that is up and does not lead
+	RoleLast     = "last"     // the last such
+	RoleJoiner   = "joiner"   // that is no voter; where there is none, as RoleLast
+)
+
+// Groups that Peers may name.
+const (
+	PeersAll      = "all"
+	PeersReplicas = "replicas"
+	PeersClients  = "clients"
+)
+
+// Fault is one fault of a plan.
+type Fault struct {
+	At     time.Duration
+	Kind   Kind
+	Target string
+	Peers  string // "": PeersAll
+	For    time.Duration
+	Count  int
+	Force  bool // the loss of a disk does not wait until the deployment bears it
+}
+
+// Plan is the faults of a run, in any order.
+type Plan []Fault
+
+// end is when all faults are over.
+func (p Plan) end() (end time.Duration) {
+	for _, f := range p {
+		end = max(end, f.At+f.For)
+	}
+	return end
+}
+
+// String is the fault as ParsePlan reads it.
+func (f Fault) String() string {
+	parts := []string{"at=" + f.At.String(), "kind=" + string(f.Kind)}
+	if f.Target != "" {
+		parts = append(parts, "target="+f.Target)
+	}
+	if f.Peers != "" {
+		parts = append(parts, "peers="+f.Peers)
+	}
+	if f.For > 0 {
+		parts = append(parts, "for="+f.For.String())
+	}
+	if f.Count > 0 {
+		parts = append(parts, "count="+strconv.Itoa(f.Count))
+	}
+	if f.Force {
+		parts = append(parts, "force=true")
+	}
+	return strings.Join(parts, " ")
+}
+
+// String is the plan as ParsePlan reads it, a fault a line.
+func (p Plan) String() string {
+	sorted := slices.Clone(p)
+	slices.SortStableFunc(sorted, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	var text strings.Builder
+	for _, f := range sorted {
+		text.WriteString(f.String() + "\n")
+	}
+	return text.String()
+}
+
+// ParsePlan reads a plan: a fault a line, as fields name=value; what follows # is a comment.
+func ParsePlan(text string) (p Plan, err error) {
+	for number, line := range strings.Split(text, "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		fields := strings.Fields(line)
+		if len(fields) == 0 {
+			continue
+		}
+		f, err := parseFault(fields)
+		if err != nil {
+			return nil, errors.Annotatef(err, "line %d", number+1)
+		}
+		p = append(p, f)
+	}
+	return p, nil
+}
+
+func parseFault(fields []string) (f Fault, err error) {
+	for _, field := range fields {
+		name, value, is := strings.Cut(field, "=")
+		if !is {
+			return f, errors.Errorf("%q is no name=value", field)
+		}
+		switch name {
+		case "at":
+			f.At, err = time.ParseDuration(value)
+		case "for":
+			f.For, err = time.ParseDuration(value)
+		case "count":
+			f.Count, err = strconv.Atoi(value)
+		case "force":
+			f.Force, err = strconv.ParseBool(value)
+		case "kind":
+			f.Kind = Kind(value)
+		case "target":
+			f.Target = value
+		case "peers":
+			f.Peers = value
+		default:
+			err = errors.Errorf("%q is no field", name)
+		}
+		if err != nil {
+			return f, err
+		}
+	}
+	if !slices.Contains(kinds, f.Kind) {
+		return f, fmt.Errorf("%q is no kind of fault", f.Kind)
+	}
+	if f.At < 0 || f.For < 0 || f.Count < 0 {
+		return f, errors.New("a time or count below zero")
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/mesh/sim/replicahost.go
@@ -0,0 +1,341 @@
+package sim
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hollyspur/internal/exchange/core"
+	"hollyspur/internal/exchange/directory"
+	"hollyspur/internal/exchange/patch"
+	"hollyspur/internal/exchange/ticket"
+	"hollyspur/internal/exchange/trunk"
+	"hollyspur/internal/exchange/trunk/wire"
+	"hollyspur/internal/exchange/vault"
+	"hollyspur/internal/mesh/replica"
+)
+
+// Times of a replica's shell.
+const (
+	minWrite     = 300 * time.Microsecond
+	maxWrite     = 4 * time.Millisecond
+	fullRetry    = 100 * time.Millisecond
+	plantedSync  = 200 * time.Millisecond // until a write is synced that an error planted has not
+	leaveFor     = 400 * time.Millisecond // of a replica that is told to end, as in production
+	replicaFault = 1                      // machines that may be lost, as the deployment is told
+)
+
+// replicaHost is the simulated shell of a replica: the machine, its disk and its connections.
+type replicaHost struct {
+	*process
+	seeds    []string
+	founder  bool
+	disk     disk
+	replica  *replica.Replica
+	links    map[string]*link
+	linkList []*link // in the order in which they were made
+	sidecars []*end
+	write    *diskWrite // under way
+	stalled  bool       // the disk
+	lastID   core.ID
+	leaving  bool
+}
+
+// diskWrite is a write that the replica waits for.
+type diskWrite struct {
+	ready core.Ready
+	last  uint64
+	done  bool
+}
+
+func replicaAddress(n int) string { return fmt.Sprintf("10.0.0.%d:7000", n+1) }
+
+func (w *World) newReplica(seeds []string, founder bool) *replicaHost {
+	n := len(w.replicas)
+	h := &replicaHost{process: w.newProcess(fmt.Sprintf("replica%d", n+1), replicaAddress(n)), seeds: seeds, founder: founder, disk: w.newDisk()}
+	h.settle = h.turn
+	w.replicas = append(w.replicas, h)
+	return h
+}
+
+func (w *World) newDisk() disk {
+	d := &memoryDisk{}
+	planted := w.options.Planted
+	switch {
+	case planted.AnswerBeforeSync:
+		d.deferred = func(core.Ready) bool { return true }
+	case planted.VoteNotSynced:
+		d.deferred = func(r core.Ready) bool { return len(r.Entries) == 0 && r.Snapshot == nil }
+	}
+	return d
+}
+
+// listener is the replica that listens at an address; nil: none.
+func (w *World) listener(address string) *replicaHost {
+	for _, h := range w.replicas {
+		if h.address == address && !h.removed {
+			return h
+		}
+	}
+	return nil
+}
+
+// start begins a life from what the disk holds.
+func (h *replicaHost) start() {
+	w := h.world
+	if h.up || h.removed {
+		return
+	}
+	held, empty, err := h.disk.read()
+	if err != nil {
+		panic("sim: " + err.Error())
+	}
+	if empty {
+		held = replica.Beginning{Address: h.address, Seeds: h.seeds, FirstStart: h.founder, NewID: core.ID(w.random.Uint64() &^ 1)}.Held()
+		if w.options.Planted.IdentityAfterWipe && h.lastID != 0 {
+			held = vault.Held{Self: h.lastID, Snapshot: held.Snapshot}
+		}
+		if h.disk.begin(held.Self, held.Snapshot) != nil {
+			w.after(fullRetry, h.start)
+			return
+		}
+	}
+	h.lastID = held.Self
+	h.beginLife()
+	h.links, h.linkList, h.sidecars, h.write, h.leaving = map[string]*link{}, nil, nil, nil, false
+	h.replica, err = replica.New(replica.Config{Address: h.address, Held: held, Seeds: h.seeds, FaultsTolerated: replicaFault,
+		RandomSeed: w.random.Uint64(), CompactAt: w.options.CompactAt, Log: zerolog.Nop()}, h, h.now())
+	if err != nil {
+		panic("sim: " + err.Error())
+	}
+	if w.options.Planted.KeysForgotten {
+		h.replica.State().Keys = ticket.New()
+	}
+	w.trace("start", h.name, "", nil)
+	w.observer.started(h, held)
+	w.observer.noteContacts()
+	h.tick()
+}
+
+func (h *replicaHost) tick() {
+	h.after(replica.TickInterval, func() {
+		h.replica.Tick(h.now())
+		h.tick()
+	})
+}
+
+// turn has the replica carry out what it wants, and waits where it waits for its disk.
+func (h *replicaHost) turn() {
+	h.world.observer.beforeTurn(h)
+	h.busy = !h.replica.Turn()
+	h.world.observer.afterTurn(h)
+}
+
+// stop ends the life. power: what the disk has not synced may be lost, and no peer hears of it.
+func (h *replicaHost) stop(power bool) {
+	if !h.up {
+		return
+	}
+	var under *core.Ready
+	if h.write != nil && !h.write.done {
+		under = &h.write.ready
+	}
+	if power || under != nil {
+		h.disk.crash(h.world.random, under, power)
+	}
+	h.endLife(!power)
+	h.replica, h.write = nil, nil
+	h.world.trace("stop", h.name, "", nil)
+	h.world.observer.noteContacts()
+}
+
+// leave has the replica end as one that is told to.
+func (h *replicaHost) leave(over func()) {
+	h.leaving = true
+	h.post(func() { h.replica.Leave(h.now()) })
+	life := h.life
+	h.world.after(leaveFor, func() {
+		if h.up && h.life == life {
+			h.stop(false)
+		}
+		over()
+	})
+}
+
+// Save begins a write, or says that the one under way is done.
+func (h *replicaHost) Save(ready core.Ready, last uint64) bool {
+	if h.write != nil {
+		if h.write.done {
+			h.write = nil
+			return true
+		}
+		return false
+	}
+	h.write = &diskWrite{ready: ready, last: last}
+	h.world.observer.logged(h, ready)
+	h.finishWrite(h.world.between(minWrite, maxWrite))
+	return false
+}
+
+// finishWrite has the write under way be done after a time, unless the disk stalls or is full.
+func (h *replicaHost) finishWrite(d time.Duration) {
+	life, write := h.life, h.write
+	h.world.after(d, func() {
+		if h.life != life || !h.up || h.write != write {
+			return
+		}
+		if h.stalled || h.disk.save(write.ready, write.last) != nil {
+			h.finishWrite(fullRetry)
+			return
+		}
+		write.done = true
+		if planted := h.world.options.Planted; planted.AnswerBeforeSync || planted.VoteNotSynced {
+			h.world.after(h.world.between(plantedSync/4, plantedSync), h.disk.sync)
+		}
+		h.world.trace("saved", h.name, "", nil)
+		h.goOn()
+	})
+}
+
+// goOn has the replica go on once its write is done, and then handles what has waited.
+func (h *replicaHost) goOn() {
+	if h.frozen || !h.busy {
+		return
+	}
+	h.turn()
+	h.resume()
+}
+
+// thaw is the process's, which may have a write done meanwhile.
+func (h *replicaHost) thaw() {
+	if h.frozen && h.busy && h.write != nil && h.write.done {
+		h.frozen = false
+		if h.clock.still {
+			h.clock.run(h.world.now)
+		}
+		h.goOn()
+		return
+	}
+	h.process.thaw()
+}
+
+// Compact writes a snapshot. Where that fails the longer log stays.
+func (h *replicaHost) Compact(s core.Snapshot, from uint64) {
+	if h.disk.compact(s, from) == nil {
+		h.world.trace("compacted", h.name, "", nil)
+	}
+}
+
+// Send sends a consensus message.
+func (h *replicaHost) Send(address string, m core.Message) {
+	h.link(address).sendLoose(trunk.Encode(vault.WireMessage(m)))
+}
+
+// Connect keeps a connection to another replica.
+func (h *replicaHost) Connect(address string) { h.link(address).connect() }
+
+// AskReplica asks another replica.
+func (h *replicaHost) AskReplica(address string, kind byte, body []byte, done func(replica.Reply)) {
+	h.link(address).ask(kind, body, done)
+}
+
+// TellSidecars sends a message to each sidecar.
+func (h *replicaHost) TellSidecars(message any) {
+	frame := trunk.Encode(message)
+	for _, e := range slices.Clone(h.sidecars) {
+		e.sendFrame(frame)
+	}
+}
+
+// TellReplicas sends a message to each replica.
+func (h *replicaHost) TellReplicas(message any) {
+	frame := trunk.Encode(message)
+	for _, l := range h.linkList {
+		l.send(frame)
+	}
+}
+
+// accept takes a connection of a sidecar or of another replica.
+func (h *replicaHost) accept(e *end, hello *wire.HelloT) {
+	if !e.open {
+		return
+	}
+	touched := func() *wire.BeatT { return &wire.BeatT{Touch: replica.InTouch(h.replica.Touched(), h.now())} }
+	e.beat = touched
+	if hello.Register {
+		h.replica.Remember(core.ID(hello.Member), hello.Addr)
+	} else {
+		h.sidecars = append(h.sidecars, e)
+		e.closed = func() { h.sidecars = slices.DeleteFunc(h.sidecars, func(o *end) bool { return o == e }) }
+		for _, m := range h.replica.Greeting() {
+			e.send(m)
+		}
+	}
+	e.message = func(m trunk.Message) { h.takeMessage(e, m, !hello.Register) }
+}
+
+func (h *replicaHost) takeMessage(e *end, m trunk.Message, sidecar bool) {
+	switch v := m.Value.(type) {
+	case *wire.VoteT:
+		if message, err := vault.MessageOf(v); err == nil && !sidecar {
+			h.replica.Step(h.now(), message)
+		}
+	case *wire.RecordsT:
+		for _, held := range h.replica.TakeRecords(h.now(), directory.Of(v), sidecar) {
+			e.send(directory.Wire([]directory.Record{held}))
+		}
+	case *wire.AskT:
+		h.answer(v, sidecar, func(r replica.Reply) {
+			if r.Push != nil {
+				e.send(r.Push)
+			}
+			e.send(&wire.ToldT{Id: v.Id, Status: uint16(r.Status), Body: r.Body})
+		})
+	}
+}
+
+func (h *replicaHost) answer(a *wire.AskT, sidecar bool, reply func(replica.Reply)) {
+	if h.world.options.Planted.UnconfirmedTable && a.Kind == trunk.AskTable {
+		t := patch.Wire(h.replica.State().Items.Items())
+		t.Whole, t.Index = true, h.replica.Applied()
+		reply(replica.Reply{Status: http.StatusOK, Body: trunk.Bytes(t)})
+		return
+	}
+	if a.Kind == trunk.AskModify {
+		told := reply
+		reply = func(r replica.Reply) {
+			if r.Status == http.StatusOK {
+				h.world.observer.acknowledged(h)
+			}
+			told(r)
+		}
+	}
+	h.replica.Answer(h.now(), a.Kind, a.Body, sidecar, reply)
+}
+
+// modify takes an operator's call.
+func (h *replicaHost) modify(body []byte, done func(replica.Reply)) {
+	if _, err := patch.Read(body); err != nil {
+		done(replica.StatusOf(err))
+		return
+	}
+	leads := h.replica.Leads()
+	h.replica.Modify(h.now(), body, func(r replica.Reply) {
+		if r.Status == http.StatusOK && leads {
+			h.world.observer.acknowledged(h)
+		}
+		done(r)
+	})
+}
+
+// fetch answers an operator's read.
+func (h *replicaHost) fetch(done func(set patch.Set, ok bool)) {
+	if h.world.options.Planted.UnconfirmedFetch {
+		done(h.replica.State().Items.Layout(), true)
+		return
+	}
+	h.replica.Fetch(h.now(), done)
+}
--- /dev/null
+++ b/internal/mesh/sim/sim_test.go
@@ -0,0 +1,116 @@
+package sim
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"reflect"
+	"runtime"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Without a fault nothing is broken, and orders and requests do go through.
+func TestQuiet(t *testing.T) {
+	began := time.Now()
+	r := Run(Options{Seed: 1})
+	t.Logf("%d events in %v of %v", r.Events, time.Since(began), r.Simulated)
+	assert.Equal(t, len(r.Violations), 0, "%v", r.Violations)
+	assert.Assert(t, len(r.History.Runs) > 25, "%d runs", len(r.History.Runs))
+	assert.Assert(t, len(r.History.Changes) > 20, "%d changes", len(r.History.Changes))
+}
+
+// One seed and one plan are one run, byte for byte.
+func TestSameRunAgain(t *testing.T) {
+	for seed := range uint64(6) {
+		var first, second bytes.Buffer
+		o := Options{Seed: seed, Plan: Generate(seed), CompactAt: 30, Trace: &first}
+		a := Run(o)
+		o.Trace = &second
+		b := Run(o)
+		assert.Equal(t, a.TraceHash, b.TraceHash)
+		assert.Assert(t, bytes.Equal(first.Bytes(), second.Bytes()))
+		assert.Assert(t, reflect.DeepEqual(a.History, b.History))
+	}
+}
+
+// seedsOf is how many seeds a test plays, and from which one on.
+func seedsOf(t *testing.T, usual uint64) (from, count uint64) {
+	count = usual
+	if text := os.Getenv("MESH_SIM_SEEDS"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		assert.NilError(t, err)
+		count = n
+	}
+	if text := os.Getenv("MESH_SIM_FROM"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		assert.NilError(t, err)
+		from = n
+	}
+	return from, count
+}
+
+// swarmOptions are those of a seed of the swarm.
+func swarmOptions(seed uint64) Options {
+	o := Options{Seed: seed, Plan: Generate(seed)}
+	if seed%4 != 0 {
+		o.CompactAt = 20 + int(seed%5)*30
+	}
+	if seed%6 == 5 {
+		o.Replicas = 5
+	}
+	return o
+}
+
+// forSeeds runs something for each seed, on all processors.
+func forSeeds(from, count uint64, do func(seed uint64)) {
+	var all sync.WaitGroup
+	next := make(chan uint64)
+	for range runtime.GOMAXPROCS(0) {
+		all.Go(func() {
+			for seed := range next {
+				do(seed)
+			}
+		})
+	}
+	for seed := from; seed < from+count; seed++ {
+		next <- seed
+	}
+	close(next)
+	all.Wait()
+}
+
+// Random schedules break nothing. MESH_SIM_SEEDS and MESH_SIM_FROM choose how many, and which.
+func TestSwarm(t *testing.T) {
+	from, count := seedsOf(t, 48)
+	began := time.Now()
+	var mu sync.Mutex
+	failed := 0
+	forSeeds(from, count, func(seed uint64) {
+		r := Run(swarmOptions(seed))
+		mu.Lock()
+		defer mu.Unlock()
+		if len(r.Undecided) > 0 {
+			t.Errorf("seed %d: undecided %v", seed, r.Undecided)
+		}
+		if r.Failed() {
+			failed++
+			t.Errorf("seed %d:\n%s%s", seed, r.Plan, violationText(r))
+		}
+	})
+	t.Logf("%d of %d schedules failed, in %v", failed, count, time.Since(began))
+}
+
+func violationText(r Result) (text string) {
+	for i, v := range r.Violations {
+		if i == 8 {
+			return text + fmt.Sprintf("and %d more\n", len(r.Violations)-i)
+		}
+		text += v.String() + "\n"
+	}
+	return text
+}
--- /dev/null
+++ b/internal/mesh/sim/world.go
@@ -0,0 +1,241 @@
+// Package sim runs a whole control plane in simulated time: the replicas' real role logic, consensus, state and wire formats
+// (internal/mesh/replica and what it uses), with operators and sidecars, over a simulated clock, network, disk and processes.
+//
+// A run is decided by its Options alone: one seed and one plan of faults are one run, byte for byte the same again. All of
+// it happens on one goroutine, event by event; several worlds may run side by side.
+package sim
+
+import (
+	"container/heap"
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"hollyspur/internal/mesh/history"
+)
+
+// Shape of a run.
+const (
+	clientsBeginAt = 1500 * time.Millisecond // the replicas have elected a leader by then, as a rule
+	recoverWithin  = 8 * time.Second         // from the end of all faults until the control plane has to be settled
+	settledFor     = 8 * time.Second
+)
+
+// Options decide a run.
+type Options struct {
+	Seed      uint64
+	Replicas  int // 0: 3
+	Operators int // 0: 2
+	Sidecars  int // 0: 3
+	Plan      Plan
+	Horizon   time.Duration // all faults are over by then; 0: the plan's end
+	CompactAt int           // entries behind a replica's snapshot; 0: as in production
+	Disk      DiskKind
+	Planted   Planted
+	Trace     io.Writer // every event as a line of text; nil: none
+}
+
+// Planted are errors put into the run on purpose, to show that the checkers find them.
+type Planted struct {
+	AnswerBeforeSync  bool // a replica goes on before its disk has synced
+	VoteNotSynced     bool // the same for term and vote alone
+	UnconfirmedFetch  bool // an operator's read is served from the state at hand
+	UnconfirmedTable  bool // a sidecar is handed the table at hand, whoever the replica is in touch with
+	KeysForgotten     bool // a replica that starts forgets which keys are held
+	IdentityAfterWipe bool // a replica whose disk was wiped comes back under the id that it had
+}
+
+// Result is what a run has shown.
+type Result struct {
+	History    *history.History
+	Violations []history.Violation
+	Undecided  []history.Item
+	TraceHash  uint64 // of all events
+	Events     int
+	Simulated  time.Duration
+	Plan       Plan // with which faults were carried out
+}
+
+// Failed says that a promise was broken.
+func (r Result) Failed() bool { return len(r.Violations) > 0 }
+
+// World is one run.
+type World struct {
+	options   Options
+	random    *rand.Rand
+	now       time.Duration
+	events    eventQueue
+	sequence  uint64
+	processed int
+	digest    hash.Hash64
+	network   network
+	history   history.History
+
+	processes []*process // all that ever were, in the order in which they came
+	replicas  []*replicaHost
+	operators []*operator
+	sidecars  []*sidecar
+
+	observer observer
+	versions map[string]int64 // latest version that an operator used of an item
+	nextID   uint64           // of requests, orders, connections
+}
+
+type event struct {
+	at       time.Duration
+	sequence uint64 // breaks ties in the order of scheduling
+	run      func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].sequence < q[j].sequence
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return last
+}
+
+// at has something happen at a time.
+func (w *World) at(t time.Duration, run func()) {
+	w.sequence++
+	heap.Push(&w.events, event{max(t, w.now), w.sequence, run})
+}
+
+func (w *World) after(d time.Duration, run func()) { w.at(w.now+d, run) }
+
+// between draws a duration.
+func (w *World) between(least, most time.Duration) time.Duration {
+	if most <= least {
+		return least
+	}
+	return least + time.Duration(w.random.Int64N(int64(most-least)))
+}
+
+func (w *World) chance(p float64) bool { return w.random.Float64() < p }
+
+func (w *World) id() uint64 {
+	w.nextID++
+	return w.nextID
+}
+
+// trace notes an event in the digest of the run, and as text where that is asked for.
+func (w *World) trace(kind, subject, object string, detail []byte) {
+	var stamp [8]byte
+	for i := range stamp {
+		stamp[i] = byte(w.now >> (8 * i))
+	}
+	w.digest.Write(stamp[:])
+	io.WriteString(w.digest, kind)
+	io.WriteString(w.digest, subject)
+	io.WriteString(w.digest, object)
+	w.digest.Write(detail)
+	if w.options.Trace != nil {
+		h := fnv.New32a()
+		h.Write(detail)
+		fmt.Fprintf(w.options.Trace, "%v %s %s %s %d %08x\n", w.now, kind, subject, object, len(detail), h.Sum32())
+	}
+}
+
+// Run plays a run and has its history checked.
+func Run(o Options) Result {
+	w := newWorld(o)
+	w.boot()
+	plan, horizon := o.Plan, max(o.Horizon, o.Plan.end(), clientsBeginAt)
+	for _, f := range plan {
+		w.at(f.At, func() { w.carryOut(f) })
+	}
+	w.at(horizon, w.endFaults)
+	end := horizon + recoverWithin + settledFor
+	w.at(end-settledFor/2, w.stopClients)
+	w.runUntil(end)
+	w.observer.settled(horizon+recoverWithin, end)
+	return w.result()
+}
+
+func newWorld(o Options) *World {
+	if o.Replicas == 0 {
+		o.Replicas = 3
+	}
+	if o.Operators == 0 {
+		o.Operators = 2
+	}
+	if o.Sidecars == 0 {
+		o.Sidecars = 3
+	}
+	w := &World{options: o, random: rand.New(rand.NewPCG(o.Seed, 0x51a)), digest: fnv.New64a(), versions: map[string]int64{}}
+	w.network.world, w.observer.world = w, w
+	return w
+}
+
+func (w *World) runUntil(end time.Duration) {
+	for len(w.events) > 0 && w.events[0].at <= end {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		w.processed++
+		e.run()
+	}
+	w.now = end
+}
+
+// boot starts all processes.
+func (w *World) boot() {
+	var seeds []string
+	for n := range w.options.Replicas {
+		seeds = append(seeds, replicaAddress(n))
+	}
+	for range w.options.Replicas {
+		h := w.newReplica(seeds, true)
+		w.after(w.between(0, 20*time.Millisecond), h.start)
+	}
+	for n := range w.options.Operators {
+		o := newOperator(w, fmt.Sprintf("operator%d", n+1))
+		w.operators = append(w.operators, o)
+		w.at(clientsBeginAt+w.between(0, 100*time.Millisecond), o.begin)
+	}
+	for n := range w.options.Sidecars {
+		s := newSidecar(w, fmt.Sprintf("sidecar%d", n+1))
+		w.sidecars = append(w.sidecars, s)
+		w.at(clientsBeginAt+w.between(0, 100*time.Millisecond), s.begin)
+	}
+}
+
+func (w *World) stopClients() {
+	for _, o := range w.operators {
+		o.stopped = true
+	}
+	for _, s := range w.sidecars {
+		s.stopped = true
+	}
+}
+
+// replicaAddresses are those of all replicas that were not removed.
+func (w *World) replicaAddresses() (l []string) {
+	for _, h := range w.replicas {
+		if !h.removed {
+			l = append(l, h.address)
+		}
+	}
+	return l
+}
+
+// result has the checkers judge the run. The search for linearizations has far more real time than it needs, so that the
+// verdict does not depend on the machine.
+func (w *World) result() Result {
+	bounds := history.Bounds{LeftBehind: leftBehindBound, CatchUp: catchUpBound, Acknowledge: acknowledgeBound, Search: time.Minute}
+	report := history.Check(&w.history, bounds)
+	violations := slices.Concat(report.Violations, w.observer.violations, w.observer.atEnd())
+	return Result{History: &w.history, Violations: violations, Undecided: report.Undecided, TraceHash: w.digest.Sum64(),
+		Events: w.processed, Simulated: w.now, Plan: w.options.Plan}
+}
