--- /dev/null
+++ b/internal/rig/mesh/worst_observer_test.go
@@ -0,0 +1,250 @@
+package mesh
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hollyspur/internal/mesh/history"
+	"hollyspur/internal/rig"
+)
+
+// observer records what operators were told by a mesh of real processes, for the checkers.
+type observer struct {
+	began time.Time
+
+	mu sync.Mutex // guards h
+	h  history.History
+}
+
+func newObserver() *observer { return &observer{began: time.Now()} }
+
+func (o *observer) now() time.Duration { return time.Since(o.began) }
+
+func (o *observer) record(e history.Event) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.h.Record(e)
+}
+
+// check has every checker judge what was seen.
+func (o *observer) check(t *testing.T) {
+	t.Helper()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	report := history.Check(&o.h, history.Bounds{Search: 2 * time.Second})
+	for _, v := range report.Violations {
+		t.Errorf("%v", v)
+	}
+	if len(report.Undecided) > 0 {
+		t.Logf("not decided within the search's bound: %v", report.Undecided)
+	}
+	t.Logf("history: %d orders, %d fetches", len(o.h.Changes), len(o.h.Fetches))
+}
+
+const routeKind = "route"
+
+// order is one order of an operator, which may be sent many times.
+type order struct {
+	name  string
+	body  []byte
+	items []history.ItemVersion
+}
+
+// orderOf words an order of one route; content, a path, is what another order of the same version may differ in.
+func orderOf(name, route string, version int, content string) order {
+	return order{name, Modify(version, nil, Route(route, "idempotent", content, "stock", version)),
+		[]history.ItemVersion{{Item: history.Item{Kind: routeKind, Name: route}, Version: int64(version), Digest: content}}}
+}
+
+// begins records the routes that startRelayed has had acknowledged.
+func (o *observer) begins() {
+	for name, content := range map[string]string{"read": "/read/", "send": "/send/"} {
+		o.record(history.Change{Call: history.Call{Process: "start", Outcome: history.Acknowledged, Return: o.now()}, Order: "start-" + name,
+			Items: []history.ItemVersion{{Item: history.Item{Kind: routeKind, Name: name}, Version: 1, Digest: content}}})
+	}
+}
+
+// outcomeOf is what an answer's status says of an order.
+func outcomeOf(status int) history.Outcome {
+	switch status {
+	case http.StatusOK:
+		return history.Acknowledged
+	case http.StatusBadRequest, http.StatusForbidden, http.StatusConflict:
+		return history.Refused
+	}
+	return history.Unknown
+}
+
+// watch records who leads, by the registers' own word, until stop is called.
+func (o *observer) watch(at ...*Machine) (stop func()) {
+	end, ended := make(chan struct{}), make(chan struct{})
+	type reign struct{ id, term uint64 }
+	seen := map[reign]bool{}
+	go func() {
+		defer close(ended)
+		for {
+			for _, x := range at {
+				if s := x.status(); s != nil && s.Leads && !seen[reign{s.Id, s.Term}] {
+					seen[reign{s.Id, s.Term}] = true
+					o.record(history.Leader{At: o.now(), Process: x.Name, ID: s.Id, Term: s.Term})
+				}
+			}
+			select {
+			case <-time.After(watchEvery):
+			case <-end:
+				return
+			}
+		}
+	}()
+	return func() { close(end); <-ended }
+}
+
+const watchEvery = 50 * time.Millisecond
+
+// send sends an order once, and records how that ended.
+func (o *observer) send(by *Operator, at *Machine, x order) (history.Outcome, string) {
+	begin := o.now()
+	status, text := by.Modify(at, x.body)
+	call := history.Call{Process: by.IP, Begin: begin, Return: o.now(), Outcome: outcomeOf(status)}
+	o.record(history.Change{Call: call, Order: x.name, Member: at.Name, Items: x.items})
+	return call.Outcome, fmt.Sprintf("%d %s", status, text)
+}
+
+// acknowledged sends an order to the registers named, one after the other, until one acknowledges it. None may refuse it.
+func (o *observer) acknowledged(t *testing.T, by *Operator, x order, at ...*Machine) {
+	t.Helper()
+	n, last := 0, ""
+	assert.Assert(t, rig.Await(patience, func() bool {
+		outcome, text := o.send(by, at[n%len(at)], x)
+		n, last = n+1, text
+		assert.Assert(t, outcome != history.Refused, "order %s is refused: %s", x.name, text)
+		return outcome == history.Acknowledged
+	}), "order %s has no acknowledgement: %s", x.name, last)
+}
+
+// fetch reads the configuration once, and records what it shows.
+func (o *observer) fetch(by *Operator, at *Machine) (ok bool) {
+	begin := o.now()
+	status, text := by.Fetch(at)
+	call := history.Call{Process: by.IP, Begin: begin, Return: o.now(), Outcome: history.Unknown}
+	var items []history.ItemVersion
+	if status == http.StatusOK {
+		call.Outcome, items = history.Acknowledged, routesOf(text)
+	}
+	o.record(history.Fetch{Call: call, Member: at.Name, Items: items})
+	return status == http.StatusOK
+}
+
+// fetched waits until a register shows the configuration.
+func (o *observer) fetched(t *testing.T, by *Operator, at *Machine) {
+	t.Helper()
+	assert.Assert(t, rig.Await(patience, func() bool { return o.fetch(by, at) }), "%s shows no configuration", at.Name)
+}
+
+// filler begins the names of routes that only make the state larger; they are no part of the history.
+const filler = "filler-"
+
+// routesOf reads the routes of a configuration.
+func routesOf(text string) (l []history.ItemVersion) {
+	var set struct {
+		ListenerList []struct {
+			PolicyRules []struct {
+				Name          string
+				ConfigVersion int64
+				MatchCriteria struct{ PathPrefix string }
+			}
+		}
+	}
+	if json.Unmarshal([]byte(text), &set) != nil {
+		return nil
+	}
+	for _, listener := range set.ListenerList {
+		for _, r := range listener.PolicyRules {
+			if strings.HasPrefix(r.Name, filler) {
+				continue
+			}
+			l = append(l, history.ItemVersion{Item: history.Item{Kind: routeKind, Name: r.Name}, Version: r.ConfigVersion, Digest: r.MatchCriteria.PathPrefix})
+		}
+	}
+	return l
+}
+
+// versions are what a machine holds of the routes, by its own word; nil: it says nothing.
+func (x *Machine) versions() map[string]int64 {
+	s := x.status()
+	if s == nil {
+		return nil
+	}
+	l := map[string]int64{}
+	for _, i := range s.Items {
+		l[i.Name] = max(l[i.Name], i.Version)
+	}
+	return l
+}
+
+// writers are operators that write and read at every register in turn until they are stopped.
+type writers struct {
+	stop    chan struct{}
+	all     sync.WaitGroup
+	mu      sync.Mutex // guards refused
+	refused []string
+}
+
+const writersRest = 25 * time.Millisecond // between an operator's calls
+
+// write begins it: each operator, from the number first on, changes a route of its own, one version after the other, and
+// sends each elsewhere until it is acknowledged. One more reads.
+func (o *observer) write(m *Mesh, first, operators int, at ...*Machine) *writers {
+	w := &writers{stop: make(chan struct{})}
+	for n := first; n < first+operators; n++ {
+		w.all.Go(func() { o.writeOwn(w, m.Operator(n), fmt.Sprint("own-", n), n, at) })
+	}
+	reader := m.Operator(first + operators)
+	w.all.Go(func() {
+		for n := 0; !w.over(); n++ {
+			o.fetch(reader, at[n%len(at)])
+		}
+	})
+	return w
+}
+
+func (o *observer) writeOwn(w *writers, by *Operator, route string, n int, at []*Machine) {
+	for version := 2; !w.over(); version++ {
+		x := orderOf(fmt.Sprint(route, "-", version), route, version, fmt.Sprintf("/%s-%d/", route, version))
+		for try := n + version; !w.over(); try++ {
+			outcome, text := o.send(by, at[try%len(at)], x)
+			if outcome == history.Refused {
+				w.mu.Lock()
+				w.refused = append(w.refused, x.name+": "+text)
+				w.mu.Unlock()
+			}
+			if outcome != history.Unknown {
+				break
+			}
+		}
+	}
+}
+
+func (w *writers) over() bool {
+	select {
+	case <-w.stop:
+		return true
+	case <-time.After(writersRest):
+		return false
+	}
+}
+
+// end stops them and waits for what is under way. None of their orders may have been refused.
+func (w *writers) end(t *testing.T) {
+	t.Helper()
+	close(w.stop)
+	w.all.Wait()
+	assert.Assert(t, len(w.refused) == 0, "%v", w.refused)
+}
--- a/internal/rig/mesh/worst_relay_test.go
+++ b/internal/rig/mesh/worst_relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -73,6 +74,22 @@
 	return lead
 }
 
+// fill has so many routes acknowledged that only make the state larger.
+func (m *Mesh) fill(t *testing.T, by *Operator, at *Machine, routes int) {
+	t.Helper()
+	var l []map[string]any
+	for n := range routes {
+		name := fmt.Sprint(filler, n)
+		l = append(l, Route(name, "idempotent", "/"+name+"/", "stock", 1))
+	}
+	body, last := Modify(1, nil, l...), ""
+	assert.Assert(t, rig.Await(patience, func() bool {
+		status, text := by.Modify(at, body)
+		last = text
+		return status == 200
+	}), last)
+}
+
 // but are the registers other than one.
 func (m *Mesh) but(x *Machine) (l []*Machine) {
 	for _, y := range m.Registers {
--- a/internal/rig/relay.go
+++ b/internal/rig/relay.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -47,6 +49,7 @@
 	identifyWithin = 5 * time.Second
 	relayDial      = 5 * time.Second
 	relayPiece     = 16 << 10 // bytes that are passed on at a time
+	relayBuffer    = 64 << 10 // bytes of a socket that wait for that, as far as the kernel keeps to it
 )
 
 var errRelayClosed = errors.New("the relay is closed")
@@ -59,7 +62,14 @@
 
 // Listen takes connections to a machine at an address and passes them on to another one.
 func (r *Relay) Listen(machine, at, behind string, who Identify) error {
-	l, err := net.Listen("tcp4", at)
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var set error
+		err := c.Control(func(fd uintptr) {
+			set = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, relayBuffer)
+		})
+		return errors.Join(err, set)
+	}}
+	l, err := config.Listen(context.Background(), "tcp4", at)
 	if err != nil {
 		return err
 	}
@@ -229,6 +239,7 @@
 		r.abort(c)
 		return
 	}
+	far.(*net.TCPConn).SetReadBuffer(relayBuffer)
 	if !r.reached(c, far.(*net.TCPConn)) {
 		return
 	}
