A member that is told to end goes once those that stay hold what it does

Cause: a leader that was told to end handed over and a follower did nothing; either could take the second copy of something acknowledged with it. Now it says Leave until the leader answers MayLeave: once what is committed is held by a majority of the voters without it, each heard in a round of heartbeats that began after it said so. From then on nothing rests on it: it says no more, and the leader counts no more of it until it answers a later round, in a new life. A leader hands over first and leaves as a follower. register waits for 2 s or half of GraceS at most, and 0.4 s at least, as before.

Who is counted was found by random schedules: a disk lost just before (so the round), one that was let go and is not back yet (so it is waited for, but where all end together), one that restarted without being let go.

--- a/internal/exchange/core/core.go
+++ b/internal/exchange/core/core.go
@@ -81,6 +81,11 @@
 	votes    map[ID]bool   // of this election, by id: yes or no
 	yielded  bool          // the leader has asked for this one's election
 
+	leaving       bool          // it was told to end
+	released      bool          // what it holds is held by those that stay
+	leaveSaid     time.Duration // to a leader, last; or Yield was sent then
+	leaderVersion uint32        // that the leader speaks
+
 	peers      progressList // a leader's: members and learners
 	seq        uint64
 	beatAt     time.Duration
--- /dev/null
+++ b/internal/exchange/core/departure_test.go
@@ -0,0 +1,126 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// leave has a register told to end, and waits until it may.
+func (f *fleet) leave(addr string, within time.Duration) bool {
+	n := f.nodes[addr]
+	n.c.Leave(f.now)
+	f.turn(addr)
+	for end := f.now + within; f.now < end && !n.c.MayLeave(); {
+		f.run(f.step)
+	}
+	return n.c.MayLeave()
+}
+
+// holds says that a register's disk has all that was acknowledged.
+func (f *fleet) holds(addr string) bool {
+	n := f.nodes[addr]
+	for index := range f.acked {
+		if n.snap.Index < index && (len(n.log) == 0 || n.log[len(n.log)-1].Index < index) {
+			return false
+		}
+	}
+	return true
+}
+
+// A member that is told to end goes only once those that stay hold what it does; 50 ms later another disk is lost. Either the
+// leader or a follower leaves, and the third lagged.
+func TestDepartureThenWipe(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newFleet(t, 300+seed, "a", "b", "c")
+		f.step = 2 * time.Millisecond
+		f.run(2 * time.Second)
+		f.write("one")
+		lead := f.leader().self.Addr
+		others := []string{}
+		for _, a := range f.addrs() {
+			if a != lead {
+				others = append(others, a)
+			}
+		}
+		lags, leaves, stays := others[0], others[1], lead
+		if seed%2 == 0 {
+			leaves, stays = lead, others[1]
+		}
+		f.cut[lags] = true
+		for n := range 5 {
+			f.write(fmt.Sprint("while it lags ", n))
+		}
+		assert.Assert(t, !f.leave(leaves, 300*time.Millisecond), "what it holds is on one other disk")
+		delete(f.cut, lags)
+		assert.Assert(t, f.leave(leaves, 3*time.Second))
+		assert.Assert(t, f.holds(lags) && f.holds(stays))
+		gone := f.nodes[leaves]
+		delete(f.nodes, leaves)
+		f.run(50 * time.Millisecond)
+		f.write("without it")
+		f.join(stays, 20) // the disk of the one that had the other copy is lost
+		f.run(100 * time.Millisecond)
+		assert.Assert(t, f.holds(lags))
+		f.nodes[leaves], gone.now = gone, f.now
+		gone.start()
+		f.run(4 * time.Second)
+		f.write("after it")
+		f.whole("a", "b", "c")
+	}
+}
+
+// What is acknowledged after a member was told that it may go does not rest on it, though it still runs.
+func TestNothingRestsOnTheReleased(t *testing.T) {
+	f := newFleet(t, 41, "a", "b", "c")
+	f.run(2 * time.Second)
+	f.write("one")
+	l := f.leader()
+	leaves, stays := "b", "c"
+	if l.self.Addr != "a" {
+		leaves, stays = "a", map[string]string{"b": "c", "c": "b"}[l.self.Addr]
+	}
+	assert.Assert(t, f.leave(leaves, time.Second))
+	f.cut[stays] = true
+	index, _, ok := l.c.Propose(f.now, []byte("two"))
+	assert.Assert(t, ok)
+	f.turn(l.self.Addr)
+	f.run(700 * time.Millisecond) // less than it takes to miss a majority
+	assert.Assert(t, l.c.commit < index)
+	delete(f.cut, stays)
+	f.run(time.Second)
+	assert.Assert(t, f.nodes[stays].c.commit >= index)
+}
+
+// Nobody waits for what can't be: a core of one, a leader of the first build, or all that end together.
+func TestDepartureWithoutWaiting(t *testing.T) {
+	f := newFleet(t, 42, "a")
+	f.run(2 * time.Second)
+	assert.Assert(t, f.leave("a", time.Millisecond))
+
+	f = newFleet(t, 43, "a", "b", "c")
+	for _, a := range []string{"a", "b"} {
+		f.nodes[a].first = true
+		f.nodes[a].start()
+	}
+	f.run(2 * time.Second)
+	if f.leader().self.Addr == "c" {
+		f.crash("c", time.Second)
+		f.run(time.Second)
+	}
+	assert.Assert(t, f.leave("c", time.Millisecond))
+
+	f = newFleet(t, 44, "a", "b", "c")
+	f.run(2 * time.Second)
+	f.write("one")
+	for _, a := range f.addrs() {
+		f.nodes[a].c.Leave(f.now)
+		f.turn(a)
+	}
+	f.run(time.Second)
+	for _, a := range f.addrs() {
+		assert.Assert(t, f.nodes[a].c.MayLeave(), a)
+	}
+}
--- a/internal/exchange/core/elect.go
+++ b/internal/exchange/core/elect.go
@@ -13,6 +13,9 @@
 // Tick lets time pass.
 func (c *Core) Tick(now time.Duration) {
 	c.now = max(c.now, now)
+	if c.leaving {
+		c.depart()
+	}
 	if c.role == leader {
 		c.tickLeader()
 		return
--- a/internal/exchange/core/leader.go
+++ b/internal/exchange/core/leader.go
@@ -8,7 +8,7 @@
 // Propose adds an entry; ok: this one leads. It is committed once Ready gives it with this term.
 func (c *Core) Propose(now time.Duration, data []byte) (index, term uint64, ok bool) {
 	c.now = max(c.now, now)
-	if c.role != leader {
+	if c.role != leader || c.handingOver() {
 		return 0, 0, false
 	}
 	e := c.add(Entry{Kind: Change, Data: data})
@@ -33,15 +33,20 @@
 	if c.role != leader {
 		return
 	}
-	var best *progress
+	if best := c.successor(); best != nil {
+		c.after = append(c.after, Message{Kind: Yield, From: c.cfg.Self.ID, To: best.ID, Term: c.term})
+	}
+}
+
+// successor is the member that holds most of the log, of those that are there and stay; nil: there is none.
+func (c *Core) successor() (best *progress) {
 	for _, m := range c.config.Members {
-		if p := c.peers.get(m.ID); p != nil && c.now-p.heard < c.cfg.Election && (best == nil || p.match > best.match) {
+		p := c.peers.get(m.ID)
+		if p != nil && c.Hears(m.ID) && !p.released && !p.wantsToLeave(c.now-c.cfg.Election) && (best == nil || p.match > best.match) {
 			best = p
 		}
 	}
-	if best != nil {
-		c.after = append(c.after, Message{Kind: Yield, From: c.cfg.Self.ID, To: best.ID, Term: c.term})
-	}
+	return best
 }
 
 // Tell has the others hear at once of what is committed, which goes with the next beat otherwise.
--- a/internal/exchange/core/members_test.go
+++ b/internal/exchange/core/members_test.go
@@ -119,7 +119,7 @@
 // take gives a register a message, as much of it as its build reads.
 func (f *fleet) take(n *node, m Message) {
 	if n.first {
-		if m.Kind > Yield {
+		if m.Kind > lastOfFirstBuild {
 			return
 		}
 		m.Version = 0
--- a/internal/exchange/core/message.go
+++ b/internal/exchange/core/message.go
@@ -1,5 +1,8 @@
 package core
 
+// lastOfFirstBuild is the last kind that Version 0 knows.
+const lastOfFirstBuild = Yield
+
 // Version is what this build speaks; it goes with each message. Version 0 is the first, which sends none: it knows neither
 // joint configurations nor what came after them, so nothing of that goes to one that speaks it.
 const Version = 1
@@ -19,6 +22,8 @@
 	Join                         // take me in
 	NotMember                    // you are none; Members are
 	Yield                        // the leader ends: take over
+	Leave                        // a member is told to end (from Version 1 on)
+	MayLeave                     // the answer: what it holds is held by those that stay
 )
 
 // Message goes between registers. To is the id that it is meant for; another at that address drops it.
--- a/internal/exchange/core/messages.go
+++ b/internal/exchange/core/messages.go
@@ -63,6 +63,10 @@
 		}
 	case Appended:
 		c.takeAppended(m)
+	case Leave:
+		c.takeLeave(m)
+	case MayLeave:
+		c.released = c.released || c.leaving && m.From == c.lead
 	case Elect:
 		c.answerElect(m)
 	case Elected:
@@ -78,8 +82,13 @@
 	if c.role != follower {
 		c.become(follower, c.term, m.From)
 	}
-	c.lead, c.heard = m.From, c.now
+	changed := c.lead != m.From
+	c.lead, c.heard, c.leaderVersion = m.From, c.now, m.Version
 	c.rest()
+	if changed && c.leaving {
+		c.leaveSaid = 0
+		c.depart()
+	}
 }
 
 // keepUp notes whether this one has all that the leader says is committed.
@@ -183,6 +192,7 @@
 	}
 	p.hear(c.now, m)
 	p.seq = max(p.seq, m.Seq)
+	p.returned(m)
 	if m.Reject {
 		p.next = max(p.match+1, min(m.Hint+1, c.last()+1))
 		if !p.paused {
@@ -190,7 +200,9 @@
 			p.paused = true
 		}
 	} else {
-		p.match = max(p.match, m.Index)
+		if !p.released {
+			p.match = max(p.match, m.Index)
+		}
 		p.next = max(p.next, p.match+1)
 		p.paused = false
 		c.advance()
@@ -199,4 +211,5 @@
 		}
 	}
 	c.confirmReads()
+	c.release()
 }
--- a/internal/exchange/core/progress.go
+++ b/internal/exchange/core/progress.go
@@ -17,6 +17,10 @@
 	answered    bool          // it has said something to this leader, so version is known
 	version     uint32        // that it speaks
 	voter       bool          // of the latest configuration
+	leaving     time.Duration // it said last that it is told to end; 0: it has not
+	leaveRound  uint64        // round of heartbeats that began when it first said so
+	released    bool          // and was told that it may: what it holds from then on does not count
+	releasedIn  uint64        // round of heartbeats in which it was; an answer to a later one is of a new life
 	joining     bool          // a learner that has asked to be taken in; one that was let go has to ask anew
 }
 
--- a/internal/exchange/core/ready.go
+++ b/internal/exchange/core/ready.go
@@ -35,6 +35,9 @@
 		r.Committed = slices.Clone(c.from(c.applied + 1)[:c.commit-c.applied])
 		c.applied = c.commit
 	}
+	if c.released { // nothing may rest on it any more
+		r.Before, r.After = nil, nil
+	}
 	for _, l := range [][]Message{r.Before, r.After} {
 		for i := range l {
 			l[i].Version = c.version()
--- a/internal/exchange/core/schedule_test.go
+++ b/internal/exchange/core/schedule_test.go
@@ -5,9 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
+
+	"hollyspur/internal/testkit"
 )
 
 const tickT = 50 * time.Millisecond
@@ -17,19 +21,21 @@
 // Each turn is checked by world.
 type schedule struct {
 	world
-	rng    *rand.Rand
-	now    time.Duration
-	ticked time.Duration
-	frozen map[int]bool
-	nextID ID
-	wipes  int // disks lost so far
-	plant  plant
-	log    bytes.Buffer // every Ready, in order; only where it is recorded
-	reads  uint64
+	rng        *rand.Rand
+	now        time.Duration
+	ticked     time.Duration
+	frozen     map[int]bool
+	nextID     ID
+	wipes      int          // disks lost so far
+	leaving    map[int]bool // told to end
+	departures int          // that were let go
+	plant      plant
+	log        bytes.Buffer // every Ready, in order; only where it is recorded
+	reads      uint64
 }
 
 func newSchedule(seed uint64, registers, joiners int) *schedule {
-	s := &schedule{world: *found(registers), rng: rand.New(rand.NewPCG(seed, 0x5eed)), frozen: map[int]bool{}, nextID: 100}
+	s := &schedule{world: *found(registers), rng: rand.New(rand.NewPCG(seed, 0x5eed)), frozen: map[int]bool{}, leaving: map[int]bool{}, nextID: 100}
 	for range joiners {
 		n := &node{self: Member{s.nextID, fmt.Sprint("r", s.nextID)}}
 		n.start()
@@ -92,10 +98,55 @@
 		s.compact()
 	case x < 283:
 		return s.cutTurn()
+	case x < 287:
+		return s.leave()
+	}
+	return s.ends()
+}
+
+// leave tells one register to end.
+func (s *schedule) leave() error {
+	i := s.rng.IntN(len(s.nodes))
+	if s.frozen[i] || len(s.leaving) > 0 {
+		return nil
+	}
+	s.leaving[i] = true
+	s.nodes[i].c.Leave(s.now)
+	return s.turn(i, whole, s.plant)
+}
+
+// ends has those go that were told to and may. What was acknowledged by then must be held by a majority of the voters that
+// stay, as the leader that let them go sees it. Each starts again, with its disk.
+func (s *schedule) ends() error {
+	for i := range s.nodes {
+		n := s.nodes[i]
+		if !s.leaving[i] || s.frozen[i] || !n.c.MayLeave() {
+			continue
+		}
+		delete(s.leaving, i)
+		if n.c.released {
+			stay := slices.DeleteFunc(slices.Clone(n.c.config.Members), func(m Member) bool { return m.ID == n.self.ID })
+			if n.c.config.votes(n.self.ID) && !majority(stay, func(id ID) bool { return s.stores(id, s.acked) }) {
+				return fmt.Errorf("%d was let go, and entry %d, which was acknowledged, is not on a majority of %v", n.self.ID, s.acked, stay)
+			}
+			s.departures++
+		}
+		n.now = s.now
+		n.start()
 	}
 	return nil
 }
 
+// stores says that a register's disk holds an entry.
+func (s *schedule) stores(id ID, index uint64) bool {
+	for _, n := range s.nodes {
+		if n.self.ID == id {
+			return n.snap.Index >= index || len(n.log) > 0 && n.log[len(n.log)-1].Index >= index
+		}
+	}
+	return false
+}
+
 // deliver has one message arrive, unless it is lost; it may come once more.
 func (s *schedule) deliver(m Message) error {
 	i := slices.IndexFunc(s.nodes, func(n *node) bool { return n.self.ID == m.To })
@@ -133,6 +184,7 @@
 func (s *schedule) cutTurn() error {
 	i := s.rng.IntN(len(s.nodes))
 	if !s.frozen[i] {
+		delete(s.leaving, i)
 		s.nodes[i].now = s.now
 		s.nodes[i].start()
 	}
@@ -205,7 +257,7 @@
 	i := s.rng.IntN(len(s.nodes))
 	n := s.nodes[i]
 	lead, ok := s.leader()
-	if !ok || len(s.frozen) > 0 {
+	if !ok || len(s.frozen) > 0 || len(s.leaving) > 0 { // one loss at a time
 		return nil
 	}
 	members, _ := s.nodes[lead].c.Members()
@@ -220,6 +272,7 @@
 	}
 	s.wipes++
 	n.wiped++
+	delete(s.leaving, i)
 	*n = node{self: Member{s.nextID, n.self.Addr}, now: s.now, wiped: n.wiped}
 	s.nextID++
 	n.start()
@@ -258,3 +311,31 @@
 		}
 	}
 }
+
+// schedules is how many TestSchedules plays: CORE_SCHEDULES, if that is set.
+func schedules(t *testing.T) uint64 {
+	text := os.Getenv("CORE_SCHEDULES")
+	switch n, err := strconv.ParseUint(text, 10, 64); {
+	case text != "" && err != nil:
+		t.Fatal(err)
+	case text != "":
+		return n
+	case testkit.Race || testing.Short():
+		return 20
+	}
+	return 100
+}
+
+// Random schedules break nothing.
+func TestSchedules(t *testing.T) {
+	wipes, departures := 0, 0
+	for seed := range schedules(t) {
+		s := newSchedule(seed, 3, 2)
+		if err := s.run(1500); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		wipes += s.wipes
+		departures += s.departures
+	}
+	t.Logf("%d schedules, %d disks lost, %d departures", schedules(t), wipes, departures)
+}
--- a/internal/exchange/register/register.go
+++ b/internal/exchange/register/register.go
@@ -27,7 +27,8 @@
 
 // Times and bounds of a register's shell.
 const (
-	yieldFor    = 400 * time.Millisecond // of a register that is to end
+	leaveLeast  = 400 * time.Millisecond // of a register that is to end: another leads, and what was taken is answered
+	leaveMost   = 2 * time.Second        // until those that stay hold what it holds
 	vaultRest   = 100 * time.Millisecond
 	mostBody    = 4 << 20 // bytes of an operator's call
 	mostPerTurn = 256
@@ -168,7 +169,7 @@
 	go r.accept()
 	ticker := time.NewTicker(replica.TickInterval)
 	defer ticker.Stop()
-	var over <-chan time.Time // of the time in which another leader takes over, and what was taken is answered
+	leaving := time.Duration(-1) // told to end then
 	for {
 		select {
 		case f := <-r.events:
@@ -185,22 +186,27 @@
 		case <-ticker.C:
 			r.tick()
 		case <-ctx.Done():
-			if over == nil {
-				r.replica.Leave(r.now())
-				over = time.After(yieldFor)
-				ctx = context.Background()
-			}
-		case <-over:
+			leaving = r.now()
+			r.replica.Leave(leaving)
+			ctx = context.Background()
+		}
+		if !r.replica.Turn() { // the disk takes nothing, and the process is to end: nothing more can be said
 			r.stop()
 			return nil
 		}
-		if !r.replica.Turn() { // the disk takes nothing, and the process is to end: nothing more can be said
+		if leaving >= 0 && r.mayEnd(r.now()-leaving) {
 			r.stop()
 			return nil
 		}
 	}
 }
 
+// mayEnd says that a register that was told to end so long ago may.
+func (r *Register) mayEnd(after time.Duration) bool {
+	most := min(leaveMost, r.set.Load().Bounds.GraceS.D()/2)
+	return after >= most || after >= leaveLeast && r.replica.MayLeave()
+}
+
 func (r *Register) stop() {
 	close(r.done)
 	r.trunks.Close()
--- a/internal/mesh/replica/replica.go
+++ b/internal/mesh/replica/replica.go
@@ -148,12 +148,16 @@
 	r.core.Step(r.now, m)
 }
 
-// Leave hands the lead over, for the process is about to end.
+// Leave begins a planned departure, for the process is about to end: the lead is handed over, and the leader is asked to say
+// when those that stay hold all that this one holds.
 func (r *Replica) Leave(now time.Duration) {
 	r.at(now)
-	r.core.Yield(r.now)
+	r.core.Leave(r.now)
 }
 
+// MayLeave says that those that stay hold all that this one holds, so that its process may end.
+func (r *Replica) MayLeave() bool { return r.core.MayLeave() }
+
 // Tick sees to what time does. It is to be called every TickInterval, followed by Turn.
 func (r *Replica) Tick(now time.Duration) {
 	r.at(now)
--- a/internal/mesh/sim/replicahost.go
+++ b/internal/mesh/sim/replicahost.go
@@ -24,7 +24,8 @@
 	maxWrite     = 4 * time.Millisecond
 	fullRetry    = 100 * time.Millisecond
 	plantedSync  = 200 * time.Millisecond // until a write is synced that an error planted has not
-	leaveFor     = 400 * time.Millisecond // of a replica that is told to end, as in production
+	leaveLeast   = 400 * time.Millisecond // of a replica that is told to end, as in production
+	leaveMost    = 2 * time.Second        // the same
 	replicaFault = 1                      // machines that may be lost, as the deployment is told
 )
 
@@ -156,9 +157,19 @@
 func (h *replicaHost) leave(over func()) {
 	h.leaving = true
 	h.post(func() { h.replica.Leave(h.now()) })
-	life := h.life
-	h.world.after(leaveFor, func() {
-		if h.up && h.life == life {
+	h.awaitLeave(h.life, h.world.now, over)
+}
+
+// awaitLeave ends a life that was told to end at an instant once it may, as the shell in production does.
+func (h *replicaHost) awaitLeave(life int, told time.Duration, over func()) {
+	h.world.after(replica.TickInterval, func() {
+		passed := h.world.now - told
+		lives := h.up && h.life == life
+		if lives && passed < leaveMost && !(passed >= leaveLeast && h.replica.MayLeave()) {
+			h.awaitLeave(life, told, over)
+			return
+		}
+		if lives {
 			h.stop(false)
 		}
 		over()
