--- a/internal/exchange/core/core.go
+++ b/internal/exchange/core/core.go
@@ -37,6 +37,9 @@
 	Hard     Hard
 	Snapshot Snapshot // the state that the log goes on from
 	Log      []Entry  // in order, from Snapshot.Index+1
+	Tail     []Entry  // in order, up to Snapshot.Index: kept for those that lag
+	Keep     int      // entries of Tail to keep at a compaction; TailEntries as a rule
+	Chunk    int      // bytes of a snapshot that go at once; 0: 32 KiB
 	Size     int      // members that there should be
 	Beat     time.Duration
 	Election time.Duration // the least silence after which another leader is sought; up to twice that
@@ -94,6 +97,8 @@
 	stampBase  time.Duration
 	reads      []read
 
+	assembly *assembly // a snapshot that is being received
+
 	hardDirty bool
 	dirtyFrom uint64 // log from here on is to be written; 0: nothing
 	snapDirty bool
@@ -107,6 +112,7 @@
 	c := &Core{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0xc0de)), term: cfg.Hard.Term, vote: cfg.Hard.Vote,
 		log: cfg.Log, snap: cfg.Snapshot, now: now, commit: cfg.Snapshot.Index, applied: cfg.Snapshot.Index}
 	c.base = position{c.snap.Index, c.snap.Term}
+	c.takeTail(cfg.Tail)
 	c.saved = c.last()
 	c.findConfiguration()
 	// One that starts asks early: where there is a leader the others say no, and where there is none time is dear.
--- a/internal/exchange/core/departure.go
+++ b/internal/exchange/core/departure.go
@@ -83,7 +83,7 @@
 	}
 	for _, p := range c.peers {
 		if p.wantsToLeave(c.now-c.cfg.Election/2) && (c.heldWithout(p) || c.nobodyStays()) {
-			p.released, p.releasedIn, p.match = true, c.seq, min(p.match, c.commit)
+			p.released, p.match = true, min(p.match, c.commit)
 			c.sayMayLeave(p)
 		}
 	}
@@ -94,10 +94,10 @@
 	return p.leaving > 0 && p.leaving > since && !p.released
 }
 
-// returned notes that a member that was let go has started again: it says nothing once it was let go, so what answers a later
-// round of heartbeats is of a new life.
+// returned notes that a member that was let go has started again: what answers a round of heartbeats that began after it said
+// Leave, and does not say that it leaves, is of a new life.
 func (p *progress) returned(m Message) {
-	if p.released && m.Seq > p.releasedIn {
+	if p.released && !m.Leaving && m.Seq >= p.leaveRound {
 		p.released, p.leaving = false, 0
 	}
 }
--- a/internal/exchange/core/leader.go
+++ b/internal/exchange/core/leader.go
@@ -90,43 +90,65 @@
 	c.beatAt = c.now + c.cfg.Beat
 	for _, p := range c.peers {
 		p.paused = false
-		c.send(p)
+		if c.needsSnapshot(p) {
+			c.heartbeat(p)
+			c.sendSnapshot(p)
+		} else {
+			c.sendEntries(p)
+		}
 	}
 }
 
-// Bounds of the entries that go with one message; one goes whatever its size.
+// Bounds of the entries that go with one message, and of those that are under way to one peer, in bytes of their data; one goes
+// whatever its size. A heartbeat waits behind no more.
 const (
-	mostSent  = 256
-	mostBytes = 1 << 20
+	mostSent     = 256
+	mostBytes    = 32 << 10
+	mostUnderWay = 64 << 10
 )
 
+// send sends a peer what it lacks, as far as more may be under way.
 func (c *Core) send(p *progress) {
-	m := Message{Kind: Append, From: c.cfg.Self.ID, To: p.ID, Term: c.term, Commit: c.commit, Seq: c.seq}
+	if c.needsSnapshot(p) {
+		c.sendSnapshot(p)
+	} else if !p.full() || p.next > c.last() {
+		c.sendEntries(p)
+	}
+}
+
+// sendEntries sends entries, none where enough are under way.
+func (c *Core) sendEntries(p *progress) {
 	prev := p.next - 1
-	t, known := c.termAt(prev)
-	if !known {
-		s := c.snap
-		m.Kind, m.Snapshot = Install, &s
-		p.paused = true
-	} else {
-		m.Index, m.LogTerm = prev, t
+	t, _ := c.termAt(prev)
+	m := Message{Kind: Append, From: c.cfg.Self.ID, To: p.ID, Term: c.term, Commit: c.commit, Seq: c.seq, Index: prev, LogTerm: t}
+	if !p.full() {
 		m.Entries = batch(c.from(p.next))
-		p.next += uint64(len(m.Entries)) // what is lost is found missing by the next
 	}
-	p.sent = c.now
+	if n := len(m.Entries); n > 0 {
+		p.next += uint64(n) // what is lost is found missing by the next
+		p.underWay = append(p.underWay, flight{p.next - 1, size(m.Entries)})
+	}
+	p.transfer, p.whole, p.sent = nil, 0, c.now
 	c.before = append(c.before, m)
 }
 
 // batch are as many of the entries as go with one message.
 func batch(entries []Entry) []Entry {
-	bytes := 0
-	for i, e := range entries {
-		if bytes += len(e.Data); i > 0 && (i >= mostSent || bytes > mostBytes) {
-			entries = entries[:i]
+	n, bytes := 0, 0
+	for n < min(len(entries), mostSent) {
+		if bytes += size(entries[n : n+1]); n > 0 && bytes > mostBytes {
 			break
 		}
+		n++
+	}
+	return slices.Clone(entries[:n])
+}
+
+func size(entries []Entry) (bytes int) {
+	for _, e := range entries {
+		bytes += len(e.Data) + entryOverhead
 	}
-	return slices.Clone(entries)
+	return bytes
 }
 
 // advance commits what a quorum has on disk. Only what this leader has added itself is committed by counting: an entry of a
--- a/internal/exchange/core/log.go
+++ b/internal/exchange/core/log.go
@@ -66,7 +66,7 @@
 func (c *Core) lastTerm() uint64 { t, _ := c.termAt(c.last()); return t }
 
 func (c *Core) lastStamp() time.Duration {
-	if n := len(c.log); n > 0 {
+	if n := len(c.log); c.last() > c.snap.Index {
 		return c.log[n-1].Stamp
 	}
 	return c.snap.Stamp
@@ -111,6 +111,9 @@
 // configurationAt is the one that holds as of an index, which is not before the snapshot's.
 func (c *Core) configurationAt(index uint64) Configuration {
 	for _, e := range slices.Backward(c.log[:index-c.base.index]) {
+		if e.Index <= c.snap.Index {
+			break
+		}
 		if e.Kind == View {
 			return configurationOf(e)
 		}
@@ -118,7 +121,43 @@
 	return c.snap.configuration()
 }
 
-// Compact forgets the log up to an index that was applied, whose state is data. It returns the snapshot to write.
+// Bounds of the log that is kept in front of a snapshot, so that one that was away for a short time needs none.
+const (
+	TailEntries   = 4096
+	tailBytes     = 4 << 20
+	entryOverhead = 64 // bytes that an entry takes beside its data, about
+)
+
+// takeTail puts entries in front of the snapshot, if they lead up to it without a gap. The oldest stands for its place only.
+func (c *Core) takeTail(tail []Entry) {
+	if n := len(tail); n == 0 || tail[n-1].Index != c.snap.Index || tail[n-1].Term != c.snap.Term {
+		return
+	}
+	c.base = position{tail[0].Index, tail[0].Term}
+	c.log = append(slices.Clone(tail[1:]), c.log...)
+}
+
+// Kept is the oldest entry that belongs on disk.
+func (c *Core) Kept() uint64 { return c.base.index }
+
+// tail is where the log is to begin behind which a snapshot at an index is compacted: Keep entries in front of it, or what those
+// want that a snapshot is being sent to.
+func (c *Core) tail(index uint64) uint64 {
+	sending, size := c.transferred()
+	bytes, at := 0, index
+	for ; at > c.base.index; at-- {
+		bytes += len(c.from(at)[0].Data) + entryOverhead
+		kept := index-at < uint64(c.cfg.Keep) && bytes <= tailBytes
+		wanted := sending > 0 && at > sending && bytes <= max(tailBytes, size)
+		if !kept && !wanted {
+			break
+		}
+	}
+	return at
+}
+
+// Compact has data, the state as of an index that was applied, stand for the log up to it. It returns the snapshot to write;
+// entries before Kept may go.
 func (c *Core) Compact(index uint64, data []byte) Snapshot {
 	if index <= c.snap.Index || index > c.applied {
 		return c.snap
@@ -126,7 +165,8 @@
 	e, f := c.from(index)[0], c.configurationAt(index)
 	c.snap = Snapshot{Index: index, Term: e.Term, Stamp: e.Stamp, View: f.Index, Members: f.Members, Outgoing: f.Outgoing,
 		Version: f.Version, Data: data}
-	c.log = slices.Clone(c.from(index + 1))
-	c.base = position{index, e.Term}
+	at := c.tail(index)
+	t, _ := c.termAt(at)
+	c.log, c.base = slices.Clone(c.from(at+1)), position{at, t}
 	return c.snap
 }
--- a/internal/exchange/core/members.go
+++ b/internal/exchange/core/members.go
@@ -173,6 +173,7 @@
 		}
 		p = &progress{Member: Member{m.From, m.Addr}, next: c.last() + 1}
 		c.peers.add(p)
+		p.hear(c.now, m)
 		c.send(p)
 	}
 	if !c.config.votes(m.From) {
--- a/internal/exchange/core/members_test.go
+++ b/internal/exchange/core/members_test.go
@@ -22,9 +22,10 @@
 	queue []timed
 	acked map[uint64]string
 	seen  map[uint64]string
-	terms map[uint64]ID // leaders by term
-	step  time.Duration // of time, at once
-	each  func()        // called after each step; nil: nothing is
+	terms map[uint64]ID              // leaders by term
+	step  time.Duration              // of time, at once
+	sent  func(to string, m Message) // called with each message that is sent; nil: nothing is
+	each  func()                     // called after each step; nil: nothing is
 }
 
 type timed struct {
@@ -56,7 +57,7 @@
 
 func (f *fleet) turn(addr string) {
 	n := f.nodes[addr]
-	w := &world{nodes: []*node{n}, applied: f.seen, leaders: f.terms}
+	w := &world{nodes: []*node{n}, applied: f.seen, leaders: f.terms, configs: map[uint64]Configuration{}}
 	if err := w.turn(0, whole, plant{}); err != nil {
 		f.t.Fatal(err)
 	}
@@ -77,6 +78,9 @@
 }
 
 func (f *fleet) send(from, to string, m Message) {
+	if f.sent != nil {
+		f.sent(to, m)
+	}
 	if f.rng.Float64() >= f.loss {
 		f.queue = append(f.queue, timed{f.now + time.Millisecond + time.Duration(f.rng.Int64N(int64(5*time.Millisecond))), from, to, m})
 	}
@@ -300,9 +304,8 @@
 		f.write(fmt.Sprint(n))
 	}
 	l := f.leader()
-	s := l.c.Compact(l.c.Applied(), []byte("state"))
-	assert.Assert(t, s.Index > 1 && l.c.Logged() == 0)
-	l.snap, l.log = s, nil
+	l.compact([]byte("state"))
+	assert.Assert(t, l.snap.Index > 1 && l.c.Logged() == 0)
 	f.cut["c"] = false
 	f.run(2 * time.Second)
 	f.write("behind it")
--- a/internal/exchange/core/message.go
+++ b/internal/exchange/core/message.go
@@ -24,6 +24,8 @@
 	Yield                        // the leader ends: take over
 	Leave                        // a member is told to end (from Version 1 on)
 	MayLeave                     // the answer: what it holds is held by those that stay
+	Chunk                        // a part of a snapshot (from Version 1 on)
+	Chunked                      // Offset: so much of it has come; Reject: go on from there
 )
 
 // Message goes between registers. To is the id that it is meant for; another at that address drops it.
@@ -42,6 +44,9 @@
 	Members        []Member
 	View           uint64
 	Version        uint32 // what the sender speaks; Ready sets it
+	Offset, Total  uint64 // of a Chunk, in bytes of the snapshot's data
+	Sum            uint32 // CRC-32C of all of the data
+	Leaving        bool   // the sender is told to end; Ready sets it
 }
 
 // yielded is the Hint of an Elect that the leader asked for: those who hear of it vote all the same.
--- a/internal/exchange/core/messages.go
+++ b/internal/exchange/core/messages.go
@@ -39,7 +39,7 @@
 // refuseOld tells one of an earlier term of this one's.
 func (c *Core) refuseOld(m Message) {
 	switch m.Kind {
-	case Append, Install:
+	case Append, Install, Chunk:
 		c.after = append(c.after, Message{Kind: Appended, From: c.cfg.Self.ID, To: m.From, Term: c.term, Reject: true, Hint: c.last()})
 	case Elect:
 		c.after = append(c.after, Message{Kind: Elected, From: c.cfg.Self.ID, To: m.From, Term: c.term, Reject: true})
@@ -55,6 +55,11 @@
 	case Install:
 		c.hearLeader(m)
 		c.install(m)
+	case Chunk:
+		c.hearLeader(m)
+		c.takeChunk(m)
+	case Chunked:
+		c.takeChunked(m)
 	case Yield:
 		if c.role == follower && m.From == c.lead && contains(c.config.Members, c.cfg.Self.ID) {
 			c.yielded = true
@@ -176,7 +181,7 @@
 		c.log = nil
 	}
 	c.base = position{s.Index, s.Term}
-	c.snap, c.snapDirty, c.commit = s, true, s.Index
+	c.snap, c.snapDirty, c.commit, c.assembly = s, true, s.Index, nil
 	c.saved = max(min(c.saved, c.last()), s.Index)
 	c.dirtyFrom = 0
 	if len(c.log) > 0 {
@@ -194,15 +199,13 @@
 	p.seq = max(p.seq, m.Seq)
 	p.returned(m)
 	if m.Reject {
-		p.next = max(p.match+1, min(m.Hint+1, c.last()+1))
+		p.next, p.underWay = max(p.match+1, min(m.Hint+1, c.last()+1)), nil
 		if !p.paused {
 			c.send(p)
 			p.paused = true
 		}
 	} else {
-		if !p.released {
-			p.match = max(p.match, m.Index)
-		}
+		p.acknowledge(m.Index)
 		p.next = max(p.next, p.match+1)
 		p.paused = false
 		c.advance()
--- a/internal/exchange/core/progress.go
+++ b/internal/exchange/core/progress.go
@@ -13,6 +13,9 @@
 	heard       time.Duration
 	seq         uint64        // latest round that it answered
 	sent        time.Duration // the last Append
+	underWay    []flight      // entries that it has not acknowledged
+	transfer    *transfer     // of a snapshot; nil: none
+	whole       time.Duration // a snapshot was sent in one message then
 	paused      bool          // a rejection or a snapshot is under way until it answers or a beat is due
 	answered    bool          // it has said something to this leader, so version is known
 	version     uint32        // that it speaks
@@ -20,7 +23,6 @@
 	leaving     time.Duration // it said last that it is told to end; 0: it has not
 	leaveRound  uint64        // round of heartbeats that began when it first said so
 	released    bool          // and was told that it may: what it holds from then on does not count
-	releasedIn  uint64        // round of heartbeats in which it was; an answer to a later one is of a new life
 	joining     bool          // a learner that has asked to be taken in; one that was let go has to ask anew
 }
 
@@ -29,6 +31,32 @@
 	p.heard, p.answered, p.version = now, true, m.Version
 }
 
+// flight is one message with entries.
+type flight struct {
+	last  uint64 // entry
+	bytes int
+}
+
+// full says that no more entries may be under way.
+func (p *progress) full() bool {
+	bytes := 0
+	for _, x := range p.underWay {
+		bytes += x.bytes
+	}
+	return bytes >= mostUnderWay
+}
+
+// acknowledge notes up to where a peer has the log. Of one that was let go nothing new counts.
+func (p *progress) acknowledge(index uint64) {
+	if !p.released {
+		p.match = max(p.match, index)
+	}
+	p.underWay = slices.DeleteFunc(p.underWay, func(x flight) bool { return x.last <= index })
+	if p.transfer != nil && index >= p.transfer.snapshot.Index {
+		p.transfer = nil
+	}
+}
+
 // progressList is a leader's progress records in ascending order of ID, so that whatever is done for each of them is done
 // in the same order whenever the same events are replayed.
 type progressList []*progress
--- a/internal/exchange/core/ready.go
+++ b/internal/exchange/core/ready.go
@@ -40,7 +40,7 @@
 	}
 	for _, l := range [][]Message{r.Before, r.After} {
 		for i := range l {
-			l[i].Version = c.version()
+			l[i].Version, l[i].Leaving = c.version(), c.leaving
 		}
 	}
 	return r
--- a/internal/exchange/core/schedule_test.go
+++ b/internal/exchange/core/schedule_test.go
@@ -42,6 +42,10 @@
 		s.nodes = append(s.nodes, n)
 		s.nextID++
 	}
+	for _, n := range s.nodes {
+		n.keep, n.chunk = []int{0, 4, 40}[s.rng.IntN(3)], 3 // of "state at", so that it takes several
+		n.start()
+	}
 	return s
 }
 
@@ -95,7 +99,7 @@
 	case x < 270:
 		return s.wipe()
 	case x < 280:
-		s.compact()
+		return s.compact()
 	case x < 283:
 		return s.cutTurn()
 	case x < 287:
@@ -273,19 +277,22 @@
 	s.wipes++
 	n.wiped++
 	delete(s.leaving, i)
-	*n = node{self: Member{s.nextID, n.self.Addr}, now: s.now, wiped: n.wiped}
+	*n = node{self: Member{s.nextID, n.self.Addr}, now: s.now, wiped: n.wiped, keep: n.keep, chunk: n.chunk}
 	s.nextID++
 	n.start()
 	return nil
 }
 
 // compact has one register forget the beginning of its log.
-func (s *schedule) compact() {
+func (s *schedule) compact() error {
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
 	if at := n.c.Applied(); at > n.c.snap.Index {
-		n.snap = n.c.Compact(at, fmt.Append(nil, "state at ", at))
-		n.log = slices.Clone(n.c.log)
+		n.compact(fmt.Append(nil, "state at ", at))
+		if err := s.checkSnapshot(n.snap); err != nil {
+			return fmt.Errorf("%d makes %w", n.self.ID, err)
+		}
 	}
+	return nil
 }
 
 // The same events give the same actions, byte for byte: no order of a map, no clock and no other chance is in them.
--- a/internal/exchange/core/search_test.go
+++ b/internal/exchange/core/search_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"maps"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -29,7 +30,10 @@
 	log   []Entry
 	now   time.Duration
 	wiped int
-	first bool // of the first build
+	first bool   // of the first build
+	done  uint64 // entry that it has applied since it started
+	keep  int
+	chunk int
 }
 
 // world is a state of the search.
@@ -43,8 +47,9 @@
 	trail    []string
 	lives    int // crashes, wipes and losses that are left
 	proposed int
-	asked    map[uint64]uint64  // by read: the highest index acknowledged when it was asked for
-	observe  func(*node, Ready) // called with each Ready before it is carried out; nil: nobody looks
+	asked    map[uint64]uint64        // by read: the highest index acknowledged when it was asked for
+	configs  map[uint64]Configuration // that were agreed on, by the index of their entries
+	observe  func(*node, Ready)       // called with each Ready before it is carried out; nil: nobody looks
 }
 
 // orders say what a search tries beyond every order of deliveries, and each turn cut before and after its sync.
@@ -80,9 +85,19 @@
 		c.peers = nil
 		for _, v := range n.c.peers {
 			p := *v
+			p.underWay = slices.Clone(p.underWay)
+			if p.transfer != nil {
+				t := *p.transfer
+				p.transfer = &t
+			}
 			c.peers = append(c.peers, &p)
 		}
 	}
+	if c.assembly != nil {
+		a := *c.assembly
+		a.data = slices.Clone(a.data)
+		c.assembly = &a
+	}
 	m.c = &c
 	return &m
 }
@@ -101,7 +116,7 @@
 	for k, x := range w.leaders {
 		v.leaders[k] = x
 	}
-	v.asked = maps.Clone(w.asked)
+	v.asked, v.configs = maps.Clone(w.asked), maps.Clone(w.configs)
 	v.trail = slices.Clone(w.trail)
 	return &v
 }
@@ -173,7 +188,7 @@
 	for i := range n {
 		members = append(members, Member{ID(i + 1), fmt.Sprint("r", i+1)})
 	}
-	w := &world{applied: map[uint64]string{}, leaders: map[uint64]ID{}, asked: map[uint64]uint64{}}
+	w := &world{applied: map[uint64]string{}, leaders: map[uint64]ID{}, asked: map[uint64]uint64{}, configs: map[uint64]Configuration{}}
 	for i := range n {
 		x := &node{self: members[i], snap: Found(members)}
 		x.start()
@@ -182,8 +197,24 @@
 	return w
 }
 
+// save writes entries over all from the first one's index on.
+func (n *node) save(l []Entry) {
+	n.log = append(slices.DeleteFunc(slices.Clone(n.log), func(e Entry) bool { return e.Index >= l[0].Index }), l...)
+}
+
+// compact has a snapshot stand for what was applied.
+func (n *node) compact(data []byte) {
+	n.snap = n.c.Compact(n.c.Applied(), data)
+	n.log = slices.DeleteFunc(slices.Clone(n.log), func(e Entry) bool { return e.Index < n.c.Kept() })
+}
+
 func (n *node) start() {
-	n.c = New(Config{Self: n.self, Hard: n.hard, Snapshot: n.snap, Log: slices.Clone(n.log), Size: 3, Beat: beatT, Election: electionT,
+	n.done = n.snap.Index
+	behind := slices.IndexFunc(n.log, func(e Entry) bool { return e.Index > n.snap.Index })
+	if behind < 0 {
+		behind = len(n.log)
+	}
+	n.c = New(Config{Self: n.self, Hard: n.hard, Snapshot: n.snap, Log: slices.Clone(n.log[behind:]), Tail: slices.Clone(n.log[:behind]), Keep: n.keep, Chunk: n.chunk, Size: 3, Beat: beatT, Election: electionT,
 		Dead: 4 * electionT, Seed: uint64(n.self.ID), FirstBuild: n.first}, n.now)
 }
 
@@ -218,10 +249,16 @@
 			n.hard = *r.Hard
 		}
 		if r.Snapshot != nil {
-			n.snap, n.log = *r.Snapshot, nil
+			if err := w.checkSnapshot(*r.Snapshot); err != nil {
+				return fmt.Errorf("%d installs %w", n.self.ID, err)
+			}
+			if r.Snapshot.Index < n.snap.Index || n.done > r.Snapshot.Index {
+				return fmt.Errorf("%d, which has applied entry %d, installs the snapshot of entry %d", n.self.ID, n.done, r.Snapshot.Index)
+			}
+			n.snap, n.log, n.done = *r.Snapshot, nil, r.Snapshot.Index
 		}
 		if len(r.Entries) > 0 {
-			n.log = append(n.log[:r.Entries[0].Index-n.snap.Index-1:r.Entries[0].Index-n.snap.Index-1], r.Entries...)
+			n.save(r.Entries)
 		}
 		n.c.Saved(r)
 		if cut == afterSync && r.Must() {
@@ -240,6 +277,10 @@
 				return fmt.Errorf("entry %d was applied as %q and as %q", e.Index, was, text)
 			}
 			w.applied[e.Index] = text
+			n.done = e.Index
+			if e.Kind == View {
+				w.configs[e.Index] = configurationOf(e)
+			}
 			if n.c.Leads() {
 				if e.Index > w.acked {
 					w.acked, w.ackedIn = e.Index, n.c.Term()
@@ -249,6 +290,21 @@
 	}
 }
 
+// checkSnapshot says that a snapshot's members are those that were agreed on.
+func (w *world) checkSnapshot(s Snapshot) error {
+	latest := uint64(1)
+	for index := range w.configs {
+		if index <= s.Index {
+			latest = max(latest, index)
+		}
+	}
+	is := s.configuration()
+	if want, known := w.configs[s.View]; s.View < latest || len(is.Members) == 0 || known && !reflect.DeepEqual(is, want) {
+		return fmt.Errorf("the snapshot of entry %d with the members of entry %d, %+v; agreed on were those of entry %d, %+v", s.Index, s.View, is, latest, w.configs[latest])
+	}
+	return nil
+}
+
 func (w *world) check(n *node) error {
 	if n.c.Leads() {
 		if was, is := w.leaders[n.c.Term()]; is && was != n.self.ID {
--- a/internal/exchange/register/environment.go
+++ b/internal/exchange/register/environment.go
@@ -59,8 +59,8 @@
 	}
 }
 
-func (e environment) Compact(s core.Snapshot, from uint64) {
-	if err := e.r.vault.Compact(s, from); err != nil {
+func (e environment) Compact(s core.Snapshot, kept uint64) {
+	if err := e.r.vault.Compact(s, kept); err != nil {
 		e.r.log.Error().Err(err).Msg("the vault can't be written")
 		e.r.vault.Reopen()
 	}
--- a/internal/exchange/trunk/wire/Vote.go
+++ b/internal/exchange/trunk/wire/Vote.go
@@ -23,6 +23,10 @@
 	Members  []*MemberT `json:"members"`
 	View     uint64     `json:"view"`
 	Version  uint32     `json:"version"`
+	Offset   uint64     `json:"offset"`
+	Total    uint64     `json:"total"`
+	Sum      uint32     `json:"sum"`
+	Leaving  bool       `json:"leaving"`
 }
 
 func (t *VoteT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -74,6 +78,10 @@
 	VoteAddMembers(builder, membersOffset)
 	VoteAddView(builder, t.View)
 	VoteAddVersion(builder, t.Version)
+	VoteAddOffset(builder, t.Offset)
+	VoteAddTotal(builder, t.Total)
+	VoteAddSum(builder, t.Sum)
+	VoteAddLeaving(builder, t.Leaving)
 	return VoteEnd(builder)
 }
 
@@ -106,6 +114,10 @@
 	}
 	t.View = rcv.View()
 	t.Version = rcv.Version()
+	t.Offset = rcv.Offset()
+	t.Total = rcv.Total()
+	t.Sum = rcv.Sum()
+	t.Leaving = rcv.Leaving()
 }
 
 func (rcv *Vote) UnPack() *VoteT {
@@ -349,8 +361,56 @@
 	return rcv._tab.MutateUint32Slot(34, n)
 }
 
+func (rcv *Vote) Offset() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Vote) MutateOffset(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(36, n)
+}
+
+func (rcv *Vote) Total() uint64 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(38))
+	if o != 0 {
+		return rcv._tab.GetUint64(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Vote) MutateTotal(n uint64) bool {
+	return rcv._tab.MutateUint64Slot(38, n)
+}
+
+func (rcv *Vote) Sum() uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(40))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Vote) MutateSum(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(40, n)
+}
+
+func (rcv *Vote) Leaving() bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(42))
+	if o != 0 {
+		return rcv._tab.GetBool(o + rcv._tab.Pos)
+	}
+	return false
+}
+
+func (rcv *Vote) MutateLeaving(n bool) bool {
+	return rcv._tab.MutateBoolSlot(42, n)
+}
+
 func VoteStart(builder *flatbuffers.Builder) {
-	builder.StartObject(16)
+	builder.StartObject(20)
 }
 func VoteAddKind(builder *flatbuffers.Builder, kind byte) {
 	builder.PrependByteSlot(0, kind, 0)
@@ -406,6 +466,18 @@
 func VoteAddVersion(builder *flatbuffers.Builder, version uint32) {
 	builder.PrependUint32Slot(15, version, 0)
 }
+func VoteAddOffset(builder *flatbuffers.Builder, offset uint64) {
+	builder.PrependUint64Slot(16, offset, 0)
+}
+func VoteAddTotal(builder *flatbuffers.Builder, total uint64) {
+	builder.PrependUint64Slot(17, total, 0)
+}
+func VoteAddSum(builder *flatbuffers.Builder, sum uint32) {
+	builder.PrependUint32Slot(18, sum, 0)
+}
+func VoteAddLeaving(builder *flatbuffers.Builder, leaving bool) {
+	builder.PrependBoolSlot(19, leaving, false)
+}
 func VoteEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/internal/exchange/vault/vault.go
+++ b/internal/exchange/vault/vault.go
@@ -45,7 +45,8 @@
 	Self     core.ID
 	Hard     core.Hard
 	Snapshot core.Snapshot
-	Log      []core.Entry
+	Log      []core.Entry // behind Snapshot
+	Tail     []core.Entry // in front of it, up to its Index, without a gap
 }
 
 // Options are how a store works.
@@ -225,7 +226,11 @@
 			return h, false, errors.WithType(err, ErrDamaged)
 		}
 		if x.Index <= h.Snapshot.Index {
-			continue // the snapshot came between this and its removal
+			if n := len(h.Tail); n > 0 && h.Tail[n-1].Index+1 != x.Index {
+				h.Tail = nil // left behind where the log was compacted without it
+			}
+			h.Tail = append(h.Tail, x)
+			continue
 		}
 		if x.Index != h.Snapshot.Index+uint64(len(h.Log))+1 {
 			return h, false, errors.Annotatef(ErrDamaged, "entry %d is missing", h.Snapshot.Index+uint64(len(h.Log))+1)
@@ -235,6 +240,9 @@
 	if err := it.Error(); err != nil {
 		return h, false, errors.WithType(err, ErrDamaged)
 	}
+	if n := len(h.Tail); n > 0 && h.Tail[n-1].Index != h.Snapshot.Index {
+		h.Tail = nil
+	}
 	return h, false, nil
 }
 
@@ -262,6 +270,9 @@
 
 // Save writes what a Ready must have on disk. last is the last entry that stands there before it.
 func (v *Vault) Save(r core.Ready, last uint64) error {
+	if v.db == nil {
+		return ErrWrite
+	}
 	b := new(leveldb.Batch)
 	if r.Hard != nil {
 		b.Put([]byte("hard"), seal(append(number(r.Hard.Term), number(uint64(r.Hard.Vote))...)))
@@ -286,12 +297,17 @@
 	return v.write(b)
 }
 
-// Compact has a snapshot stand for the log up to it, which began behind from.
-func (v *Vault) Compact(s core.Snapshot, from uint64) error {
+// Compact has a snapshot stand for the log up to it, and removes the entries before kept.
+func (v *Vault) Compact(s core.Snapshot, kept uint64) error {
+	if v.db == nil {
+		return ErrWrite
+	}
 	b := new(leveldb.Batch)
 	b.Put([]byte("snap"), seal(trunk.Bytes(WireSnapshot(&s))))
-	for n := from + 1; n <= s.Index; n++ {
-		b.Delete(entryKey(n))
+	it := v.db.NewIterator(&util.Range{Start: entryKey(0), Limit: entryKey(kept)}, nil)
+	for it.Next() {
+		b.Delete(append([]byte(nil), it.Key()...))
 	}
+	it.Release()
 	return v.write(b)
 }
--- a/internal/exchange/vault/wire.go
+++ b/internal/exchange/vault/wire.go
@@ -63,7 +63,8 @@
 // WireMessage words a message between registers.
 func WireMessage(m core.Message) *wire.VoteT {
 	t := &wire.VoteT{Kind: byte(m.Kind), From: uint64(m.From), To: uint64(m.To), Term: m.Term, Index: m.Index, LogTerm: m.LogTerm,
-		Commit: m.Commit, Reject: m.Reject, Hint: m.Hint, Seq: m.Seq, Addr: m.Addr, Members: WireMembers(m.Members), View: m.View, Version: m.Version}
+		Commit: m.Commit, Reject: m.Reject, Hint: m.Hint, Seq: m.Seq, Addr: m.Addr, Members: WireMembers(m.Members), View: m.View, Version: m.Version,
+		Offset: m.Offset, Total: m.Total, Sum: m.Sum, Leaving: m.Leaving}
 	for _, e := range m.Entries {
 		t.Entries = append(t.Entries, WireEntry(e))
 	}
@@ -76,7 +77,8 @@
 // MessageOf reads a message between registers.
 func MessageOf(t *wire.VoteT) (core.Message, error) {
 	m := core.Message{Kind: core.MessageKind(t.Kind), From: core.ID(t.From), To: core.ID(t.To), Term: t.Term, Index: t.Index, LogTerm: t.LogTerm,
-		Commit: t.Commit, Reject: t.Reject, Hint: t.Hint, Seq: t.Seq, Addr: t.Addr, Members: MembersOf(t.Members), View: t.View, Version: t.Version}
+		Commit: t.Commit, Reject: t.Reject, Hint: t.Hint, Seq: t.Seq, Addr: t.Addr, Members: MembersOf(t.Members), View: t.View, Version: t.Version,
+		Offset: t.Offset, Total: t.Total, Sum: t.Sum, Leaving: t.Leaving}
 	for _, x := range t.Entries {
 		e, err := EntryOf(x)
 		if err != nil {
--- a/internal/mesh/replica/replica.go
+++ b/internal/mesh/replica/replica.go
@@ -54,9 +54,9 @@
 	// Save has on disk, synced, what ready must have there; last is the last entry that stands on disk before it. False: it is not,
 	// and the replica does nothing until its owner calls Turn again, which saves anew.
 	Save(ready core.Ready, last uint64) bool
-	// Compact replaces, on disk, the log behind from and up to the snapshot's index by the snapshot. It may fail: the longer log
-	// says the same.
-	Compact(snapshot core.Snapshot, from uint64)
+	// Compact has the snapshot stand, on disk, for the log up to its index; entries before kept are removed. It may fail: the
+	// longer log says the same.
+	Compact(snapshot core.Snapshot, kept uint64)
 	// TellSidecars sends a message to each sidecar that is connected here.
 	TellSidecars(message any)
 	// TellReplicas sends a message to each replica that there is a connection to.
@@ -78,6 +78,7 @@
 	FaultsTolerated int // machines that may be lost; there are 2n+1 members, at least 3
 	RandomSeed      uint64
 	CompactAt       int // entries behind the snapshot at which there is a new one; 0: CompactAt
+	TailEntries     int // entries kept in front of the snapshot for replicas that lag; 0: core.TailEntries
 	Log             zerolog.Logger
 }
 
--- a/internal/mesh/replica/turn.go
+++ b/internal/mesh/replica/turn.go
@@ -127,10 +127,6 @@
 
 // compact has a snapshot of the state stand for the log.
 func (r *Replica) compact() {
-	at := r.core.Applied()
-	from := uint64(0) // no more than where the log begins
-	if n := uint64(r.core.Logged()); at > n {
-		from = at - n
-	}
-	r.env.Compact(r.core.Compact(at, r.state.Save()), from)
+	snapshot := r.core.Compact(r.core.Applied(), r.state.Save())
+	r.env.Compact(snapshot, r.core.Kept())
 }
--- a/internal/mesh/sim/disk.go
+++ b/internal/mesh/sim/disk.go
@@ -26,7 +26,7 @@
 	read() (held vault.Held, empty bool, err error)
 	begin(self core.ID, snapshot core.Snapshot) error
 	save(ready core.Ready, last uint64) error
-	compact(snapshot core.Snapshot, from uint64) error
+	compact(snapshot core.Snapshot, kept uint64) error
 	// crash ends the process, and takes power away with it, or not; ready is a write that was under way, nil: none.
 	crash(random *rand.Rand, ready *core.Ready, power bool)
 	// sync syncs what was written, where an error planted has left that out.
@@ -84,7 +84,7 @@
 		h.Hard = *ready.Hard
 	}
 	if ready.Snapshot != nil {
-		h.Snapshot, h.Log = *ready.Snapshot, nil
+		h.Snapshot, h.Log, h.Tail = *ready.Snapshot, nil, nil
 	}
 	if n := len(ready.Entries); n > 0 {
 		keep := ready.Entries[0].Index - h.Snapshot.Index - 1
@@ -96,13 +96,16 @@
 	return h
 }
 
-func (d *memoryDisk) compact(s core.Snapshot, _ uint64) error {
+func (d *memoryDisk) compact(s core.Snapshot, kept uint64) error {
 	if d.full {
 		return errDiskFull
 	}
 	h := d.written
 	if s.Index > h.Snapshot.Index {
-		h.Log = slices.Clone(h.Log[s.Index-h.Snapshot.Index:])
+		covered := s.Index - h.Snapshot.Index
+		tail := append(slices.Clone(h.Tail), h.Log[:covered]...)
+		h.Tail = slices.DeleteFunc(tail, func(e core.Entry) bool { return e.Index < kept })
+		h.Log = slices.Clone(h.Log[covered:])
 		h.Snapshot = s
 	}
 	d.written = h
--- a/internal/mesh/sim/replicahost.go
+++ b/internal/mesh/sim/replicahost.go
@@ -108,7 +108,7 @@
 	h.beginLife()
 	h.links, h.linkList, h.sidecars, h.write, h.leaving = map[string]*link{}, nil, nil, nil, false
 	h.replica, err = replica.New(replica.Config{Address: h.address, Held: held, Seeds: h.seeds, FaultsTolerated: replicaFault,
-		RandomSeed: w.random.Uint64(), CompactAt: w.options.CompactAt, Log: zerolog.Nop()}, h, h.now())
+		RandomSeed: w.random.Uint64(), CompactAt: w.options.CompactAt, TailEntries: w.options.CompactAt / 2, Log: zerolog.Nop()}, h, h.now())
 	if err != nil {
 		panic("sim: " + err.Error())
 	}
@@ -161,7 +161,7 @@
 }
 
 // awaitLeave ends a life that was told to end at an instant once it may, as the shell in production does.
-func (h *replicaHost) awaitLeave(life int, told time.Duration, over func()) {
+func (h *replicaHost) awaitLeave(life uint64, told time.Duration, over func()) {
 	h.world.after(replica.TickInterval, func() {
 		passed := h.world.now - told
 		lives := h.up && h.life == life
@@ -234,8 +234,8 @@
 }
 
 // Compact writes a snapshot. Where that fails the longer log stays.
-func (h *replicaHost) Compact(s core.Snapshot, from uint64) {
-	if h.disk.compact(s, from) == nil {
+func (h *replicaHost) Compact(s core.Snapshot, kept uint64) {
+	if h.disk.compact(s, kept) == nil {
 		h.world.trace("compacted", h.name, "", nil)
 	}
 }
