--- a/internal/exchange/line/answers_test.go
+++ b/internal/exchange/line/answers_test.go
@@ -1,6 +1,7 @@
 package line
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -12,9 +13,11 @@
 	"gotest.tools/v3/assert"
 
 	"hollyspur"
+	"hollyspur/internal/engine"
 	"hollyspur/internal/exchange/ticket"
 	"hollyspur/internal/exchange/trunk"
 	"hollyspur/internal/exchange/trunk/wire"
+	"hollyspur/internal/message"
 )
 
 // Servers answer twice, late, in another's name, in none, with more bytes than told, in chunks, long, or turn calls away, to
@@ -363,3 +366,25 @@
 	// A 503 to one of the two says nothing of the other, and the history knows them by one id.
 	assert.Equal(t, x.found("TWICE"), 0)
 }
+
+// An answer that begins twice is broken, and nothing is added to one that has ended: its caller sees the first's end.
+func TestAnswerBeginsTwice(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	go io.Copy(io.Discard, far)
+	c, err := trunk.Accept(prefixed{near, bytes.NewReader(trunk.Encode(&wire.HelloT{Version: trunk.Version}))}, nil)
+	assert.NilError(t, err)
+	var streams []*message.Stream
+	p := &sent{c: c, id: 1, ended: make(chan struct{}), a: engine.NewAttempt(nil, nil, time.Second, engine.Hooks{Began: func(r engine.Reply) {
+		streams = append(streams, r.(*message.Stream))
+	}})}
+	p.answer(&wire.AnswerT{Id: 1, Status: 200, More: true, Length: -1})
+	p.answer(&wire.AnswerT{Id: 1, Status: 200, More: true, Length: -1})
+	p.piece(&wire.PieceT{Id: 1, Body: []byte("x")})
+	<-p.ended
+	assert.Equal(t, len(streams), 1)
+	assert.Equal(t, p.ending, hollyspur.Broken)
+	assert.Assert(t, streams[0].Held() == 0 && streams[0].Trailer() == nil)
+	body, err := streams[0].Next(context.Background()) // returns, for it has ended
+	assert.Assert(t, body == nil && err == nil)
+}
