--- a/internal/exchange/line/answers_test.go
+++ b/internal/exchange/line/answers_test.go
@@ -24,7 +24,7 @@
 // many callers at once on one cord. Each caller has its own answer, and what may not be repeated runs once.
 func TestServersInTrouble(t *testing.T) {
 	x := startChain(t, 2)
-	hows := []string{"plain", "twice", "late", "more", "chunks", "long", "shed", "failed", "unnamed", "wrong"}
+	hows := []string{"plain", "twice", "late", "more", "chunks", "long", "shed", "failed", "contrary", "unnamed", "wrong"}
 	var all sync.WaitGroup
 	for _, kind := range []kindOfCall{onceCall, keyedCall, repeatableCall} {
 		for n, how := range hows {
@@ -346,6 +346,41 @@
 	}
 }
 
+// A key's grant comes after its line has given it up and said that it has not run: told late by the registers, or taken late by
+// them, behind its release. Whoever repeats the key has one run, or is told that it can't be granted.
+func TestLateGrant(t *testing.T) {
+	for _, taken := range []bool{false, true} {
+		t.Run(fmt.Sprintf("taken late=%v", taken), func(t *testing.T) {
+			t.Parallel()
+			x := startChain(t, 2)
+			for range 4 {
+				late := make(chan struct{})
+				x.registers.mu.Lock()
+				x.registers.late, x.registers.taken = late, taken
+				x.registers.mu.Unlock()
+				key := "k-" + attemptID()
+				var all sync.WaitGroup
+				for range 2 { // by whichever line is drawn
+					all.Go(func() {
+						if answer := x.call(keyedCall, "plain", key, 2*time.Second); answer.Status != 503 && answer.Status != 409 {
+							t.Errorf("while nothing is granted: %+v", answer)
+						}
+					})
+				}
+				all.Wait()
+				x.registers.mu.Lock()
+				x.registers.late = nil
+				x.registers.mu.Unlock()
+				close(late)
+				for range 4 {
+					x.call(keyedCall, "plain", key, 2*time.Second)
+				}
+			}
+			x.clean()
+		})
+	}
+}
+
 // A caller uses one Attempt-Id for two calls of a key. They are two calls: what the first holds is not granted to a later try
 // of the second.
 func TestAttemptIDUsedTwice(t *testing.T) {
--- a/internal/exchange/line/chain_test.go
+++ b/internal/exchange/line/chain_test.go
@@ -53,6 +53,9 @@
 	conns   map[*trunk.Conn]bool
 	book    *ticket.Book
 	grant   func(ticket.Claim, ticket.Grant) ticket.Grant // planted; nil: none
+	// late holds back the answers to claims, or with taken the claims themselves, until it is closed; nil: nothing does
+	late  chan struct{}
+	taken bool
 }
 
 func startRegisters(t testing.TB, config string) *registers {
@@ -101,7 +104,7 @@
 			r.mu.Unlock()
 			r.tell()
 		case *wire.AskT:
-			c.Send(&wire.ToldT{Id: v.Id, Status: http.StatusOK, Body: r.answer(v)})
+			r.reply(c, v)
 		}
 	}
 	r.mu.Lock()
@@ -109,6 +112,28 @@
 	r.mu.Unlock()
 }
 
+// reply answers a call, at once or late.
+func (r *registers) reply(c *trunk.Conn, a *wire.AskT) {
+	r.mu.Lock()
+	late, taken := r.late, r.taken
+	r.mu.Unlock()
+	if late == nil || a.Kind != trunk.AskClaims {
+		c.Send(&wire.ToldT{Id: a.Id, Status: http.StatusOK, Body: r.answer(a)})
+		return
+	}
+	var body []byte
+	if !taken {
+		body = r.answer(a)
+	}
+	go func() {
+		<-late
+		if taken {
+			body = r.answer(a)
+		}
+		c.Send(&wire.ToldT{Id: a.Id, Status: http.StatusOK, Body: body})
+	}()
+}
+
 // tell tells all lines of all lines.
 func (r *registers) tell() {
 	r.mu.Lock()
@@ -215,6 +240,8 @@
 		return strings.Replace(whole(id, ""), "Attempt-Id: "+id+"\r\n", "", 1)
 	case "failed": // without a word of whose it is
 		return "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+	case "contrary": // it has run it, and says that it has not
+		return strings.Replace(whole(id, ""), "\r\n", "\r\nNot-Executed: 1\r\n", 1)
 	case "more": // bytes beyond the length
 		return whole(id, "") + "and more"
 	case "chunks":
--- a/internal/exchange/line/serverspeech.go
+++ b/internal/exchange/line/serverspeech.go
@@ -33,11 +33,17 @@
 	return sender.OfAnother
 }
 
+// promises are the statuses with which a server may say that it has not run a request. With any other that word contradicts
+// the answer, and is not believed.
+var promises = map[int]bool{http.StatusBadRequest: true, http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
+	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true}
+
+// Ending implements sender.Speech.
 func (serverSpeech) Ending(resp *http.Response) (hollyspur.Ending, bool) {
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		return hollyspur.Unreachable, false
-	case resp.Header.Get(hNotRun) != "":
+	case resp.Header.Get(hNotRun) != "" && promises[resp.StatusCode]:
 		return hollyspur.Overloaded, false
 	case resp.StatusCode >= 500:
 		return hollyspur.Failure, true
