Bench of the time from a fault of the control plane to the next grant

The time from a killed or frozen leader, or from a loss of power of all members, to the next keyed request that is granted and to the next acknowledged change, with real processes; FAILOVER_TRIALS sets the number of trials.

--- a/internal/rig/mesh/bench_test.go
+++ b/internal/rig/mesh/bench_test.go
@@ -18,11 +18,17 @@
 
 // begun is a mesh of three registers and two lines that has its configuration.
 func begun(b *testing.B) (m *Mesh, dir string) {
-	dir = b.TempDir()
+	m = begunWith(b, "stock", "orders")
+	return m, m.Dir
+}
+
+// begunWith is a mesh of three registers that has its configuration, with a line and a server for each service named.
+func begunWith(b *testing.B, services ...string) *Mesh {
+	dir := b.TempDir()
 	if err := Build(dir); err != nil {
 		b.Fatal(err)
 	}
-	m, err := New(dir, 3, "stock", "orders")
+	m, err := New(dir, 3, services...)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -31,7 +37,7 @@
 		m.Close()
 		b.Fatal("the mesh does not come up")
 	}
-	return m, dir
+	return m
 }
 
 // BenchmarkCore is how soon a change is acknowledged where a hundred come a second, open loop, at a register that does not
--- /dev/null
+++ b/internal/rig/mesh/failover_test.go
@@ -0,0 +1,321 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hollyspur/internal/exchange/trunk"
+	"hollyspur/internal/exchange/trunk/wire"
+	"hollyspur/internal/rig"
+)
+
+// trialsEnv names the variable that holds how many trials BenchmarkFailover makes of each fault.
+const trialsEnv = "FAILOVER_TRIALS"
+
+const (
+	defaultTrials = 5
+	probeEvery    = 10 * time.Millisecond // between probes of one kind at one machine
+	powerOff      = 2 * time.Second       // that all control-plane members stay down
+	recoverWithin = 15 * time.Second
+)
+
+// BenchmarkFailover measures, with real processes, the time from a fault of the control plane's leader to the next keyed
+// request that is granted and run, and to the next change that is acknowledged. The faults: the leader is killed; it is
+// frozen; all members are killed and started again after two seconds (counted from that start).
+func BenchmarkFailover(b *testing.B) {
+	trials := defaultTrials
+	if n, err := strconv.Atoi(os.Getenv(trialsEnv)); err == nil && n > 0 {
+		trials = n
+	}
+	for _, fault := range []struct {
+		name  string
+		bring func(m *Mesh, leader *Machine) (at time.Time, undo func() error)
+	}{
+		{"kill", killLeader}, {"freeze", freezeLeader}, {"power", killAll},
+	} {
+		b.Run(fault.name, func(b *testing.B) {
+			m := begunWith(b, "stock", "stock", "orders")
+			defer m.Close()
+			f := newFailover(m)
+			for range trials {
+				if err := f.trial(fault.bring); err != nil {
+					b.Fatal(err)
+				}
+			}
+			f.report(b)
+		})
+	}
+}
+
+func killLeader(_ *Mesh, leader *Machine) (time.Time, func() error) {
+	at := time.Now()
+	leader.Kill()
+	return at, leader.Start
+}
+
+func freezeLeader(_ *Mesh, leader *Machine) (time.Time, func() error) {
+	at := time.Now()
+	leader.Process.Pause()
+	return at, func() error { leader.Process.Resume(); return nil }
+}
+
+// killAll kills all members together and starts them again after a while: the time counts from that start.
+func killAll(m *Mesh, _ *Machine) (time.Time, func() error) {
+	var all sync.WaitGroup
+	for _, x := range m.Registers {
+		all.Go(x.Kill)
+	}
+	all.Wait()
+	time.Sleep(powerOff)
+	at := time.Now()
+	for _, x := range m.Registers {
+		all.Go(func() { x.Start() })
+	}
+	all.Wait()
+	return at, func() error { return nil }
+}
+
+// failover measures trials on one mesh.
+type failover struct {
+	m       *Mesh
+	keys    atomic.Int64
+	version atomic.Int64
+	refused int
+	asked   int
+	spans   map[string][]time.Duration // by what ended
+}
+
+func newFailover(m *Mesh) *failover {
+	f := &failover{m: m, spans: map[string][]time.Duration{}}
+	f.version.Store(1)
+	return f
+}
+
+// outcome is a probe's: when it was begun and answered, as steady times.
+type outcome struct {
+	began, ended time.Time
+	done         bool
+}
+
+// trial brings the fault about under probes and notes how long each kind of them went without success.
+func (f *failover) trial(bring func(*Mesh, *Machine) (time.Time, func() error)) error {
+	leader, err := f.settled()
+	if err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	grants := make([]*probe, 2)
+	for i := range grants {
+		x := f.m.Lines[i]
+		grants[i] = startProbe(&all, stop, func() bool {
+			return x.Call("POST", "/send/x", fmt.Sprint("failover-", f.keys.Add(1)), nil).Status == 200
+		})
+	}
+	changes := make([]*probe, len(f.m.Registers))
+	for i, x := range f.m.Registers {
+		changes[i] = startProbe(&all, stop, func() bool {
+			v := int(f.version.Add(1))
+			name := fmt.Sprint("failover", i)
+			status, _ := x.Operate(Modify(v, nil, Route(name, "idempotent", "/"+name+"/", "stock", v)))
+			return status == 200
+		})
+	}
+	time.Sleep(3 * probeEvery)
+	at, undo := bring(f.m, leader)
+	ok := rig.Await(recoverWithin, func() bool {
+		for _, p := range grants {
+			if _, is := p.after(at); !is {
+				return false
+			}
+		}
+		_, is := firstOf(changes, at)
+		return is
+	})
+	close(stop)
+	defer all.Wait()
+	if !ok {
+		return fmt.Errorf("nothing is granted or acknowledged %v after the fault", recoverWithin)
+	}
+	f.note(at, leader, grants, changes)
+	return undo()
+}
+
+// note keeps the spans of a trial.
+func (f *failover) note(at time.Time, leader *Machine, grants, changes []*probe) {
+	first, _ := firstOf(grants, at)
+	f.add("grant", first.Sub(at))
+	var last time.Time
+	for _, p := range grants {
+		x, _ := p.after(at)
+		if x.After(last) {
+			last = x
+		}
+		asked, refused := p.counts(at)
+		f.asked, f.refused = f.asked+asked, f.refused+refused
+	}
+	f.add("grant-all-lines", last.Sub(at))
+	change, _ := firstOf(changes, at)
+	f.add("change", change.Sub(at))
+	if elected, is := f.firstLogged(at, "leader", func(l logged) bool { return l.Leader != 0 }); is {
+		f.add("new-leader", elected.Sub(at))
+	}
+	if found, is := f.firstLogged(at, "items confirmed", func(logged) bool { return true }); is {
+		f.add("line-confirmed", found.Sub(at))
+	}
+}
+
+func (f *failover) add(name string, d time.Duration) { f.spans[name] = append(f.spans[name], d) }
+
+// logged is a line of a process's log.
+type logged struct {
+	Time    int64  `json:"time"` // Unix ms
+	Message string `json:"message"`
+	Leader  uint64 `json:"leader"`
+}
+
+// firstLogged is the earliest line of any process's log with that message since a time.
+func (f *failover) firstLogged(since time.Time, message string, is func(logged) bool) (first time.Time, found bool) {
+	for _, x := range append(slices.Clone(f.m.Registers), f.m.Lines...) {
+		if x.Process == nil {
+			continue
+		}
+		for _, text := range strings.Split(x.Process.Tail(), "\n") {
+			var l logged
+			if json.Unmarshal([]byte(text), &l) != nil || l.Message != message || !is(l) {
+				continue
+			}
+			t := time.UnixMilli(l.Time)
+			if t.After(since) && (!found || t.Before(first)) {
+				first, found = t, true
+			}
+		}
+	}
+	return first, found
+}
+
+// settled waits until all members follow one leader and have all of its log, and all lines have a home.
+func (f *failover) settled() (leader *Machine, err error) {
+	if rig.Await(recoverWithin, func() bool {
+		leader = nil
+		terms := map[uint64]bool{}
+		for _, x := range f.m.Registers {
+			s, err := x.Status()
+			if err != nil || !s.Touch || s.Outside || len(s.Members) != len(f.m.Registers) {
+				return false
+			}
+			if terms[s.Term] = true; s.Leads {
+				leader = x
+			}
+		}
+		for _, x := range f.m.Lines {
+			if s, err := x.Status(); err != nil || !s.Touch || s.Home == "" {
+				return false
+			}
+		}
+		return leader != nil && len(terms) == 1
+	}) {
+		return leader, nil
+	}
+	return nil, fmt.Errorf("the mesh does not settle in %v", recoverWithin)
+}
+
+// Status asks a machine's process how it is.
+func (x *Machine) Status() (*wire.StatusT, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	c, err := trunk.Call(ctx, x.Process.Addr, "bench", nil)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	return c.Status(ctx)
+}
+
+// report tells the median and the 99th in 100 of each span, in milliseconds.
+func (f *failover) report(b *testing.B) {
+	for name, spans := range f.spans {
+		slices.Sort(spans)
+		b.ReportMetric(milliseconds(spans[len(spans)/2]), name+"-p50-ms")
+		b.ReportMetric(milliseconds(spans[len(spans)*99/100]), name+"-p99-ms")
+	}
+	b.ReportMetric(float64(f.refused)/float64(max(1, f.asked)), "refused-share")
+	b.ReportMetric(float64(len(f.spans["grant"])), "trials")
+	b.ReportMetric(0, "ns/op")
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// probe tries one thing again and again, open loop.
+type probe struct {
+	mu   sync.Mutex // guards outcomes
+	list []outcome
+}
+
+func startProbe(all *sync.WaitGroup, stop <-chan struct{}, try func() bool) *probe {
+	p := &probe{}
+	all.Go(func() {
+		tick := time.NewTicker(probeEvery)
+		defer tick.Stop()
+		for {
+			all.Go(func() {
+				began := time.Now()
+				done := try()
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				p.list = append(p.list, outcome{began, time.Now(), done})
+			})
+			select {
+			case <-stop:
+				return
+			case <-tick.C:
+			}
+		}
+	})
+	return p
+}
+
+// after is when the first of the tries that were begun after a time had succeeded.
+func (p *probe) after(at time.Time) (first time.Time, is bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range p.list {
+		if o.done && o.began.After(at) && (!is || o.ended.Before(first)) {
+			first, is = o.ended, true
+		}
+	}
+	return first, is
+}
+
+// counts are the tries begun since a time that have ended, and how many of them without success.
+func (p *probe) counts(at time.Time) (asked, refused int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range p.list {
+		if o.began.Before(at) {
+			continue
+		}
+		if asked++; !o.done {
+			refused++
+		}
+	}
+	return asked, refused
+}
+
+func firstOf(l []*probe, at time.Time) (first time.Time, is bool) {
+	for _, p := range l {
+		if t, ok := p.after(at); ok && (!is || t.Before(first)) {
+			first, is = t, true
+		}
+	}
+	return first, is
+}
