A leader whose process has ended is replaced without waiting for its silence

Cause: after a leader was killed its followers waited for the whole election timeout (500 to 1,000 ms, split votes on top), though its connections had ended and its port refused new ones. A connection that was only reset proves nothing, for the redial succeeds. A member that refuses a pre-vote only because the asker lacks entries asks itself. A leader that asks for pre-votes has started again and is followed no more. The wait for a silent leader goes by the members' place in the list, not by chance, from the same least silence of 500 ms. A register's peers are dialled as soon as they show that they run, and lines are told at once when the register is in touch again. Ruled out: a reset by itself as evidence, for resets strike machines that live on; a shorter election timeout, for a register's own goroutine syncs its disk.

--- a/internal/exchange/core/elect.go
+++ b/internal/exchange/core/elect.go
@@ -7,6 +7,10 @@
 	if c.role == asking { // asking disturbs nobody, and who was not there may be by now
 		least /= 4
 	}
+	if c.role == follower {
+		c.deadline = c.now + least + c.turnToAsk()
+		return
+	}
 	c.deadline = c.now + least + time.Duration(c.rng.Int64N(int64(least)))
 }
 
@@ -108,6 +112,9 @@
 // answerAsk answers a pre-vote. One that is no member here may be one all the same, by entries that this one lacks: if its
 // log is as long, it is answered like any other, and it alone knows whose votes it needs.
 func (c *Core) answerAsk(m Message) {
+	if m.From == c.lead && m.Term > c.term {
+		c.lead = 0 // it asks for votes, so it has started again and leads no more
+	}
 	yes := m.Term > c.term && !c.hears() && c.upToDate(m)
 	if !yes && !c.config.votes(m.From) {
 		c.stranger(m)
@@ -118,6 +125,9 @@
 		term = c.term
 	}
 	c.after = append(c.after, Message{Kind: Asked, From: c.cfg.Self.ID, To: m.From, Term: term, Reject: !yes})
+	if !yes {
+		c.askInstead(m)
+	}
 }
 
 // takeAsked takes the answer to a pre-vote.
--- a/internal/exchange/register/links.go
+++ b/internal/exchange/register/links.go
@@ -25,6 +25,7 @@
 	c       *trunk.Conn
 	dialing bool
 	rest    time.Time // no dial before
+	quick   int       // redials since a connection ended
 	held    [][]byte  // to be sent when it is up; the latest
 }
 
@@ -76,8 +77,13 @@
 	l.mu.Unlock()
 	if err != nil {
 		r.log.Debug().Err(err).Msg("link")
+		if refusedDial(err) {
+			r.Do(func() { r.peerGone(l.addr) })
+		}
 		return
 	}
+	began := time.Now()
+	defer func() { l.ended(time.Since(began)) }()
 	c.Open(1)
 	// What it may have missed.
 	r.Do(func() { c.Send(directory.Wire(r.replica.Records().All())) })
@@ -156,6 +162,7 @@
 			}
 		} else {
 			r.replica.Remember(core.ID(c.Peer.Member), c.Peer.Addr)
+			r.link(c.Peer.Addr).hasten()
 		}
 	})
 	defer r.Do(func() { delete(r.lines, c) })
--- a/internal/exchange/register/register.go
+++ b/internal/exchange/register/register.go
@@ -219,10 +219,14 @@
 
 // tick lets time pass.
 func (r *Register) tick() {
-	now := r.now()
 	r.replica.SetSeeds(r.set.Load().Seeds())
-	r.replica.Tick(now)
-	r.touch.Store(int64(r.replica.Touched()))
+	r.tickReplica()
+	now := r.now()
 	r.keepNight(now)
 	r.keepRules(now)
 }
+
+func (r *Register) tickReplica() {
+	r.replica.Tick(r.now())
+	r.touch.Store(int64(r.replica.Touched()))
+}
--- a/internal/mesh/replica/replica.go
+++ b/internal/mesh/replica/replica.go
@@ -183,10 +183,28 @@
 }
 
 func (r *Replica) keepTouch() {
+	before := r.touched
 	r.touched = 0
 	if r.core.InTouch(r.now) && !r.core.Outside() && !r.held {
 		r.touched = max(1, r.now)
 	}
+	if before == 0 && r.touched > 0 {
+		r.env.TellSidecars(r.heartbeat())
+	}
+}
+
+// PeerGone takes that the process of the replica at an address has ended: its host refuses connections there. If it led, the
+// result says how long after now Tick is due for its place to be sought.
+func (r *Replica) PeerGone(now time.Duration, address string) (wait time.Duration, isLeader bool) {
+	r.at(now)
+	if address == "" || address != r.leaderAddress() {
+		return 0, false
+	}
+	leader := r.core.Leader()
+	if wait, isLeader = r.core.LeaderGone(r.now, leader); isLeader {
+		r.log.Info().Uint64("leader", uint64(leader)).Str("addr", address).Dur("wait", wait).Msg("leader gone")
+	}
+	return wait, isLeader
 }
 
 // Touched is when the replica last was in touch with a majority, as of the last Tick; 0: it is not.
--- a/internal/mesh/replica/sidecars.go
+++ b/internal/mesh/replica/sidecars.go
@@ -11,9 +11,13 @@
 
 // Greeting is what a sidecar is told when it connects, in this order.
 func (r *Replica) Greeting() []any {
-	return []any{r.membersMessage(), directory.Wire(r.records.All()), r.state.Maintenance.Outs()}
+	return []any{r.membersMessage(), r.heartbeat(), directory.Wire(r.records.All()), r.state.Maintenance.Outs()}
 }
 
+// heartbeat says whether this replica is in touch. Sidecars hear it with each beat of a connection, when they connect, and at
+// once when the replica comes back in touch.
+func (r *Replica) heartbeat() *wire.BeatT { return &wire.BeatT{Touch: InTouch(r.touched, r.now)} }
+
 // membersMessage are the addresses of the replicas, for sidecars.
 func (r *Replica) membersMessage() *wire.MembersT {
 	l, view := r.core.Members()
--- a/internal/rig/mesh/mesh_test.go
+++ b/internal/rig/mesh/mesh_test.go
@@ -312,6 +312,39 @@
 	m.clean(t)
 }
 
+// A leader whose process has ended is found out by its port, not by its silence; one that is frozen is not taken for ended.
+func TestKilledLeaderIsFoundOut(t *testing.T) {
+	m := start(t, "orders", "stock")
+	for _, kill := range []bool{false, true} {
+		var by *Machine
+		assert.Assert(t, rig.Await(patience, func() bool {
+			for _, x := range m.Registers {
+				if s, err := x.Status(); err == nil && s.Leads && s.Touch {
+					by = x
+				}
+			}
+			return by != nil
+		}))
+		id := by.Process.Addr
+		if kill {
+			by.Kill()
+		} else {
+			by.Process.Pause()
+		}
+		m.change2(t, by, map[bool]int{false: 10, true: 11}[kill])
+		found := false
+		for _, x := range m.Registers {
+			found = found || x != by && strings.Contains(x.Process.Tail(), `"addr":"`+id+`","wait"`)
+		}
+		assert.Equal(t, found, kill)
+		if !kill {
+			by.Process.Resume()
+		}
+		m.Lines[0].served(t, "POST", "/send/x", fmt.Sprint("found", kill))
+	}
+	m.clean(t)
+}
+
 // A register that stands still is no home, and wakes as no leader.
 func TestFrozen(t *testing.T) {
 	m := start(t, "orders", "stock")
