A sidecar's following of a register is a pure decider with a thin shell

Need: whom to dial, when to leave a silent home, and whether keyed requests may wait were spread over goroutines with real clocks; that a silent home was left only after 6 s could not be seen by a test. During an election lines left a home without a leader for others without one (every beat 300 ms apart, a bound of 250 ms), each time with a rest of 100 ms and up to 600 ms for a dial. Change: internal/mesh/follower takes events and the time and gives actions; line/home.go carries them out on one goroutine. Steady times only. Tests: TestHomeIsWaitedFor said that a home out of touch is left at once, which was the fault; it now says that it is left for one in touch, not before, and that requests are refused meanwhile.

--- a/internal/exchange/line/home.go
+++ b/internal/exchange/line/home.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,42 +13,54 @@
 	"hollyspur/internal/exchange/patch"
 	"hollyspur/internal/exchange/trunk"
 	"hollyspur/internal/exchange/trunk/wire"
+	"hollyspur/internal/mesh/follower"
 )
 
 // Times of the home register.
 const (
-	homeRest   = 100 * time.Millisecond // between tries to find one
-	seekFor    = 400 * time.Millisecond // keyed requests wait for another home
-	askAgain   = 150 * time.Millisecond
-	askWithin  = time.Second
-	outOfTouch = 250 * time.Millisecond // that a home may be without a leader
-	dialWithin = 600 * time.Millisecond
+	askAgain  = 150 * time.Millisecond
+	askWithin = time.Second
+	// lookAtSeeds is how often settings are looked at that may have changed.
+	lookAtSeeds = time.Second
 )
 
-// home is the register that this line hears of all else from; another one takes its place when it is silent or hears of
-// no leader.
+// home is the register that this line hears of all else from. Package follower decides which one that is; this is its shell,
+// whose goroutine run owns the decider and the connections. Others post to it.
 type home struct {
-	line  *Line
-	c     atomic.Pointer[trunk.Conn]
-	touch atomic.Bool
-	// seeking is until when, in Unix ns, another home counts as good as found
-	seeking atomic.Int64
-	stall   stall
+	line   *Line
+	c      atomic.Pointer[trunk.Conn] // of the register that is followed; it may have ended
+	stall  stall
+	events chan func(now time.Duration)
+	seeds  func() []string // of the settings
+	// reachable and graceEnds are the decider's latest word; the time is by the line's clock
+	reachable atomic.Bool
+	graceEnds atomic.Int64
 
-	mu       sync.Mutex // guards below
-	known    []string   // trunks of the registers
-	view     uint64     // that they are of
+	// Owned by run's goroutine.
+	decider *follower.Follower
+	conns   map[follower.DialID]*member
+
+	mu       sync.Mutex // guards releases
 	releases []*wire.ClaimT
 	wake     chan struct{}
 }
 
+// member is a connection to a register, or the dial of one.
+type member struct {
+	id     follower.DialID
+	cancel context.CancelFunc // of the dial
+	c      *trunk.Conn        // nil: it has not spoken yet
+	heard  atomic.Int64       // when the latest frame came, by the line's clock
+}
+
 func newHome(l *Line) *home {
-	return &home{line: l, known: l.set.Load().Seeds(), wake: make(chan struct{}, 1)}
+	return &home{line: l, events: make(chan func(time.Duration), 64), seeds: func() []string { return l.set.Load().Seeds() },
+		conns: map[follower.DialID]*member{}, wake: make(chan struct{}, 1)}
 }
 
 // inTouch says that the registers can be asked: the home hears of a majority, or was lost a moment ago and another is sought.
 func (h *home) inTouch() bool {
-	return h.touch.Load() || time.Now().UnixNano() < h.seeking.Load()
+	return h.reachable.Load() || int64(h.line.clock.Now()) < h.graceEnds.Load()
 }
 
 func (h *home) close() {
@@ -61,165 +72,167 @@
 	}
 }
 
-// candidates are the registers to try, those that are known to be members first.
-func (h *home) candidates() []string {
-	h.mu.Lock()
-	l := append([]string(nil), h.known...)
-	h.mu.Unlock()
-	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
-	seen := map[string]bool{}
-	for _, a := range l {
-		seen[a] = true
-	}
-	for _, a := range h.line.set.Load().Seeds() {
-		if !seen[a] {
-			l = append(l, a)
-		}
+// post has an event taken on run's goroutine.
+func (h *home) post(event func(now time.Duration)) {
+	select {
+	case h.events <- event:
+	case <-h.line.ctx.Done():
 	}
-	return l
 }
 
 // run keeps a home.
 func (h *home) run() {
 	l := h.line
 	go h.giveBack()
-	last := ""
-	for l.ctx.Err() == nil {
-		if g := h.dial(last); g != nil {
-			last = g.c.Remote()
-			h.follow(g.c, g.first)
-		}
+	h.decider = follower.New(l.clock.Now(), h.seeds())
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
 		select {
-		case <-time.After(homeRest):
+		case event := <-h.events:
+			event(l.clock.Now())
+		case <-timer.C:
+			now := l.clock.Now()
+			h.noteHeard(now)
+			h.decider.Seeds(now, h.seeds())
+			h.decider.Tick(now)
 		case <-l.ctx.Done():
+			for _, m := range h.conns {
+				m.cancel()
+			}
+			return
 		}
+		for _, a := range h.decider.Take() {
+			h.carryOut(a)
+		}
+		reachable, until := h.decider.Reachable()
+		h.graceEnds.Store(int64(until))
+		h.reachable.Store(reachable)
+		timer.Reset(min(lookAtSeeds, h.decider.Next()-l.clock.Now()))
 	}
 }
 
-// greeted is a register that spoke.
-type greeted struct {
-	c     *trunk.Conn
-	first trunk.Message
+// noteHeard tells the decider when the home was heard last: an event for each frame would cost more than it tells.
+func (h *home) noteHeard(now time.Duration) {
+	if m := h.conns[h.decider.Home()]; m != nil {
+		h.decider.Heard(now, m.id, time.Duration(m.heard.Load()))
+	}
 }
 
-// dial connects with whichever register speaks first, of all that are known but the one that was left last: that is one
-// of this zone, as a rule, and none that stands still while its machine takes connections.
-func (h *home) dial(but string) *greeted {
+func (h *home) carryOut(a follower.Action) {
 	l := h.line
-	ctx, cancel := context.WithTimeout(l.ctx, dialWithin)
-	defer cancel()
-	var addrs []string
-	for _, a := range h.candidates() {
-		if a != but {
-			addrs = append(addrs, a)
+	switch a.Kind {
+	case follower.Dial:
+		ctx, cancel := context.WithTimeout(l.ctx, follower.DialTimeout)
+		m := &member{id: a.ID, cancel: cancel}
+		h.conns[a.ID] = m
+		go h.connect(ctx, m, a.Addr)
+	case follower.Follow:
+		c := h.conns[a.ID].c
+		h.c.Store(c)
+		c.Open(1) // its silence is to be found out soon
+		c.Send(directory.Wire([]directory.Record{l.own.record()}))
+		l.log.Info().Str("register", c.Remote()).Msg("home")
+	case follower.Confirm:
+		c := h.conns[a.ID].c
+		go h.confirm(c, a.ID)
+	case follower.Drop:
+		m := h.conns[a.ID]
+		delete(h.conns, a.ID)
+		m.cancel()
+		if m.c != nil {
+			m.c.Close(errors.New(a.Reason))
+			h.logLeft(m.c, a.Reason)
 		}
 	}
-	if len(addrs) == 0 {
-		addrs = []string{but}
-	}
-	got := make(chan *greeted, len(addrs))
-	for _, a := range addrs {
-		go func() {
-			c, err := trunk.Dial(ctx, a, &wire.HelloT{Name: l.set.Load().NodeName, Addr: l.Addr(), Zone: l.set.Load().Zone}, nil)
-			if err != nil {
-				got <- nil
-				return
-			}
-			stop := context.AfterFunc(ctx, func() { c.Close(ctx.Err()) })
-			m, err := c.Receive()
-			if !stop() || err != nil {
-				c.Close(err)
-				got <- nil
-				return
-			}
-			got <- &greeted{c, m}
-		}()
-	}
-	for n := range addrs {
-		if g := <-got; g != nil {
-			cancel()
-			go func() { // those that came up all the same
-				for range len(addrs) - n - 1 {
-					if g := <-got; g != nil {
-						g.c.Close(nil)
-					}
-				}
-			}()
-			return g
-		}
+}
+
+// logLeft notes why a connection ended if it was the home's. c is nil where a dial failed.
+func (h *home) logLeft(c *trunk.Conn, why string) {
+	if c != nil && c == h.c.Load() {
+		h.line.log.Info().Str("register", c.Remote()).Str("why", why).Msg("home left")
 	}
-	return nil
 }
 
-// follow stays with a home for as long as it is one.
-func (h *home) follow(c *trunk.Conn, first trunk.Message) {
+// connect dials a register and takes what it says, until the connection ends. It runs on a goroutine of its own.
+func (h *home) connect(ctx context.Context, m *member, addr string) {
 	l := h.line
-	h.c.Store(c)
-	c.Open(1) // its silence is to be found out soon
-	l.log.Info().Str("register", c.Remote()).Msg("home")
-	defer func() {
-		if h.touch.Swap(false) {
-			h.seeking.Store(time.Now().Add(seekFor).UnixNano())
-		}
-		c.Close(nil)
-		l.log.Info().Str("register", c.Remote()).AnErr("why", c.Err()).Msg("home left")
-	}()
-	c.Send(directory.Wire([]directory.Record{l.own.record()}))
-	go h.confirm(c)
-	last := time.Now() // that it was in touch
-	for m := first; ; {
-		switch v := m.Value.(type) {
-		case *wire.BeatT:
-			h.touch.Store(v.Touch)
-			if v.Touch {
-				last = time.Now()
-			} else if time.Since(last) > outOfTouch {
-				return
-			}
-		case *wire.ItemsT:
-			l.takeItems(patch.ItemsOf(v))
-		case *wire.RecordsT:
-			l.takeRecords(directory.Of(v))
-		case *wire.OutsT:
-			l.takeOuts(v)
-		case *wire.BoundT:
-			l.takeBound(v)
-		case *wire.MembersT:
-			h.mu.Lock()
-			if v.Index >= h.view && len(v.List) > 0 {
-				h.view, h.known = v.Index, nil
-				for _, x := range v.List {
-					h.known = append(h.known, x.Addr)
-				}
-			}
-			h.mu.Unlock()
-		case *wire.ToldT:
-			l.asks.Told(c, v)
+	defer m.cancel()
+	hello := &wire.HelloT{Name: l.set.Load().NodeName, Addr: l.Addr(), Zone: l.set.Load().Zone}
+	c, err := trunk.Dial(ctx, addr, hello, nil)
+	if err == nil {
+		err = h.receive(ctx, m, c)
+		c.Close(err)
+	}
+	h.post(func(now time.Duration) {
+		if h.conns[m.id] == m {
+			delete(h.conns, m.id)
+			h.logLeft(c, err.Error())
 		}
-		var err error
-		if m, err = c.Receive(); err != nil {
+		h.decider.Closed(now, m.id)
+	})
+}
+
+// receive takes messages; the context bounds the time until the first.
+func (h *home) receive(ctx context.Context, m *member, c *trunk.Conn) error {
+	stop := context.AfterFunc(ctx, func() { c.Close(ctx.Err()) })
+	first, err := c.Receive()
+	if !stop() {
+		return ctx.Err()
+	}
+	if err != nil {
+		return err
+	}
+	m.heard.Store(int64(h.line.clock.Now()))
+	h.post(func(now time.Duration) {
+		if h.conns[m.id] != m { // it was dropped meanwhile
+			c.Close(nil)
 			return
 		}
+		m.c = c
+		h.decider.Spoke(now, m.id)
+	})
+	for x := first; ; {
+		h.take(m.id, c, x)
+		if x, err = c.Receive(); err != nil {
+			return err
+		}
+		m.heard.Store(int64(h.line.clock.Now()))
 	}
 }
 
-// confirm has the home read all items back from the core.
-func (h *home) confirm(c *trunk.Conn) {
+// take takes one message of a register. Tables merge by their versions, so it is the same which register tells what.
+func (h *home) take(id follower.DialID, c *trunk.Conn, m trunk.Message) {
 	l := h.line
-	for {
-		if some, err := h.table(c); err == nil && some { // else the operator has not come yet
-			h.touch.Store(true)
-			l.confirmed()
-			return
-		}
-		select {
-		case <-time.After(askAgain):
-		case <-c.Done():
-			return
-		case <-l.ctx.Done():
-			return
+	switch v := m.Value.(type) {
+	case *wire.BeatT:
+		h.post(func(now time.Duration) { h.decider.Heartbeat(now, id, v.Touch) })
+	case *wire.ItemsT:
+		l.takeItems(patch.ItemsOf(v))
+	case *wire.RecordsT:
+		l.takeRecords(directory.Of(v))
+	case *wire.OutsT:
+		l.takeOuts(v)
+	case *wire.BoundT:
+		l.takeBound(v)
+	case *wire.MembersT:
+		var addrs []string
+		for _, x := range v.List {
+			addrs = append(addrs, x.Addr)
 		}
+		h.post(func(now time.Duration) { h.decider.Members(now, v.Index, addrs) })
+	case *wire.ToldT:
+		l.asks.Told(c, v)
+	}
+}
+
+// confirm has the home read all items back from the core.
+func (h *home) confirm(c *trunk.Conn, id follower.DialID) {
+	some, err := h.table(c)
+	if some = some && err == nil; some { // else the operator has not come yet
+		h.line.confirmed()
 	}
+	h.post(func(now time.Duration) { h.decider.Confirmed(now, id, some) })
 }
 
 // table reads all items back, and which rules bind; false: there are none.
@@ -262,9 +275,11 @@
 	if !h.stall.enter(clock.Now()) {
 		return nil, errStalled
 	}
-	defer func() { h.stall.leave(clock.Now(), err == nil) }()
-	stop := h.doubt()
-	defer stop()
+	h.noteWaiting()
+	defer func() {
+		h.stall.leave(clock.Now(), err == nil)
+		h.noteWaiting()
+	}()
 	body := trunk.Bytes(&wire.ClaimsT{List: []*wire.ClaimT{x}})
 	for {
 		c := h.c.Load()
@@ -285,25 +300,14 @@
 	}
 }
 
-// doubt leaves a home that says nothing at all while something is waited for: one that has lost power, or stands still, would
-// else be found silent only when requests have long been given up.
-func (h *home) doubt() (stop func()) {
-	var over atomic.Bool
-	var look func()
-	look = func() {
-		if over.Load() {
-			return
-		}
-		if c := h.c.Load(); c != nil && c.Err() == nil && time.Since(c.Heard()) > doubtHome {
-			c.Close(errors.New("the home is silent while a key is waited for"))
-			return
-		}
-		time.AfterFunc(doubtAfter/2, look)
-	}
-	t := time.AfterFunc(doubtAfter, look)
-	return func() {
-		over.Store(true)
-		t.Stop()
+// noteWaiting tells the decider whether claims wait, for the home's silence is found out sooner then. It posts only where that
+// has changed; what is told is read on run's goroutine, so that events which overtake each other do no harm.
+func (h *home) noteWaiting() {
+	if _, changed := h.stall.waits(); changed {
+		h.post(func(now time.Duration) {
+			waits, _ := h.stall.waits()
+			h.decider.Waiting(now, waits)
+		})
 	}
 }
 
--- a/internal/exchange/line/home_test.go
+++ b/internal/exchange/line/home_test.go
@@ -21,24 +21,47 @@
 	"hollyspur/internal/exchange/trunk"
 	"hollyspur/internal/exchange/trunk/wire"
 	"hollyspur/internal/message"
+	"hollyspur/internal/rig"
 )
 
-// homed is a line with a trunk to a home, and that one's side of it.
-func homed(t *testing.T) (l *Line, near, far *trunk.Conn) {
-	nl, err := net.Listen("tcp", "127.0.0.1:0")
+// fakeRegister is where a line's dials of one register come out.
+type fakeRegister struct {
+	addr  string
+	conns chan *trunk.Conn
+}
+
+func newFakeRegister(t *testing.T) *fakeRegister {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer nl.Close()
-	accepted := make(chan *trunk.Conn, 1)
+	t.Cleanup(func() { l.Close() })
+	r := &fakeRegister{addr: l.Addr().String(), conns: make(chan *trunk.Conn, 64)}
 	go func() {
-		if nc, err := nl.Accept(); err == nil {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
 			if c, err := trunk.Accept(nc, nil); err == nil {
-				accepted <- c
+				r.conns <- c
 			}
 		}
 	}()
+	return r
+}
+
+// speak takes the next dial and says whether there is a leader.
+func (r *fakeRegister) speak(inTouch bool) *trunk.Conn {
+	c := <-r.conns
+	c.Send(&wire.MembersT{})
+	c.Send(&wire.BeatT{Touch: inTouch})
+	return c
+}
+
+// lineWith is a line whose seeds are these registers, with its home's goroutine.
+func lineWith(t *testing.T, registers ...*fakeRegister) *Line {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	l = &Line{log: zerolog.Nop(), clock: engine.NewClock(), ctx: ctx}
+	l := &Line{log: zerolog.Nop(), clock: engine.NewClock(), ctx: ctx}
 	set := settings.Defaults()
 	l.set.Store(&set)
 	l.plan.Store(dialplan.Make(patch.Table{}))
@@ -47,32 +70,90 @@
 	l.own = newOwn(l)
 	l.pools = newPools(l, newBudgets(set))
 	l.home = newHome(l)
-	near, err = trunk.Dial(ctx, nl.Addr().String(), &wire.HelloT{Name: "line"}, nil)
-	assert.NilError(t, err)
-	return l, near, <-accepted
+	l.home.seeds = func() (l []string) {
+		for _, r := range registers {
+			l = append(l, r.addr)
+		}
+		return l
+	}
+	go l.home.run()
+	return l
+}
+
+const patience = 20 * time.Second
+
+// homed is a line with a trunk to a home, and that one's side of it.
+func homed(t *testing.T) (l *Line, near, far *trunk.Conn) {
+	r := newFakeRegister(t)
+	l = lineWith(t, r)
+	far = r.speak(true)
+	assert.Assert(t, rig.Await(patience, func() bool { near = l.home.c.Load(); return near != nil }))
+	return l, near, far
 }
 
 // A home is waited for as long as it is one: a register that stands still is found silent soon, not after the long time of a
-// trunk on which nobody waits. One that says it is out of touch is left.
+// trunk on which nobody waits. One that says it is out of touch is left for one that is in touch, and not before; meanwhile
+// requests that need it are refused, once the time in which another is likely to be found is over.
 func TestHomeIsWaitedFor(t *testing.T) {
-	l, c, far := homed(t)
-	done := make(chan struct{})
+	a, b := newFakeRegister(t), newFakeRegister(t)
+	l := lineWith(t, a, b)
+	first := a.speak(true)
+	m, err := first.Receive()
+	assert.NilError(t, err)
+	_, is := m.Value.(*wire.RecordsT)
+	assert.Assert(t, is, "its record: it follows by now")
+	assert.Equal(t, l.home.c.Load().Waits(), int64(1))
+	assert.Assert(t, rig.Await(patience, l.home.inTouch))
+	ended := make(chan struct{})
 	go func() {
-		defer close(done)
-		l.home.follow(c, trunk.Wrap(&wire.BeatT{Touch: true}))
+		defer close(ended)
+		for {
+			if _, err := first.Receive(); err != nil {
+				return
+			}
+		}
 	}()
-	_, err := far.Receive() // its record: it follows by now
-	assert.NilError(t, err)
-	assert.Equal(t, c.Waits(), int64(1))
-	for open := true; open; {
+	say := func() { first.Send(&wire.BeatT{Touch: false}) }
+	assert.Assert(t, rig.Await(patience, func() bool { say(); return !l.home.inTouch() }))
+	select {
+	case <-ended:
+		t.Fatal("it was left though no other is in touch")
+	default:
+	}
+	go func() {
+		for c := range b.conns {
+			c.Send(&wire.MembersT{})
+			c.Send(&wire.BeatT{Touch: true})
+			go c.Receive()
+		}
+	}()
+	assert.Assert(t, rig.Await(patience, func() bool {
+		say()
 		select {
-		case <-done:
-			open = false
-		case <-time.After(outOfTouch / 4):
-			far.Send(&wire.BeatT{Touch: false})
+		case <-ended:
+			return l.home.inTouch()
+		default:
+			return false
 		}
-	}
-	assert.Assert(t, !l.home.touch.Load())
+	}))
+	assert.Equal(t, l.home.c.Load().Remote(), b.addr)
+}
+
+// A line that starts before any register listens takes the first that comes.
+func TestHomeAfterRefusedDials(t *testing.T) {
+	nobody, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	nobody.Close()
+	l := lineWith(t, &fakeRegister{addr: nobody.Addr().String()})
+	assert.Assert(t, rig.Await(patience, func() bool {
+		refused := make(chan bool, 1)
+		l.home.post(func(time.Duration) { refused <- len(l.home.conns) == 0 })
+		return <-refused
+	}))
+	late := newFakeRegister(t)
+	l.home.post(func(now time.Duration) { l.home.decider.Members(now, 1, []string{late.addr}) })
+	late.speak(true)
+	assert.Assert(t, rig.Await(patience, l.home.inTouch))
 }
 
 // An answer in pieces and the end of an attempt's own time, in all orders: what begins also ends, and as broken where it is
@@ -170,14 +251,13 @@
 	l, c, far := homed(t)
 	defer far.Close(nil)
 	ctx, cancel := context.WithCancel(context.Background())
-	l.home.c.Store(c)
 	waited := make(chan error, 1)
 	go func() {
 		_, err := l.home.claim(ctx, &wire.ClaimT{Key: "k"})
 		waited <- err
 	}()
 	<-c.Done()
-	assert.ErrorContains(t, c.Err(), "silent while a key is waited for")
+	assert.ErrorContains(t, c.Err(), "silent while requests wait for it")
 	cancel()
 	assert.Assert(t, <-waited != nil)
 }
--- a/internal/exchange/line/stall.go
+++ b/internal/exchange/line/stall.go
@@ -9,10 +9,6 @@
 const (
 	stallAfter = 200 * time.Millisecond // without an answer, while some wait
 	stallMost  = 2                      // that may wait meanwhile, to see when there are answers again
-	// doubtAfter is how long a claim waits until its home's silence counts, and doubtHome that silence: a home beats every 0.3 s,
-	// whatever else it says.
-	doubtAfter = 250 * time.Millisecond
-	doubtHome  = 450 * time.Millisecond
 )
 
 // stall tells when claims on keys are not answered. Each that waits holds a place at a server that others want, so while none
@@ -22,6 +18,7 @@
 	waiting int
 	since   time.Duration // that some have waited without any answer
 	failing bool          // none has been answered since that became too long
+	told    bool          // what waits told last
 }
 
 // enter says whether one more claim may wait.
@@ -53,3 +50,13 @@
 		s.failing = true
 	}
 }
+
+// waits says whether any claim waits, and whether that differs from what it said last.
+func (s *stall) waits() (waits, changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waits = s.waiting > 0
+	changed = waits != s.told
+	s.told = waits
+	return waits, changed
+}
