--- a/internal/exchange/patch/history_test.go
+++ b/internal/exchange/patch/history_test.go
@@ -138,6 +138,27 @@
 	assert.NilError(t, err)
 }
 
+// Over a day of hundreds of changes on the same few routes every order stays known: one that comes again, however late, is
+// acknowledged, and another content under its version is not, also from disk.
+func TestHundredsOfChanges(t *testing.T) {
+	table := taken(t, Table{}, call("", fmt.Sprintf(service, "s", 1)))
+	const changes, routes = 600, 3
+	order := func(n int, more string) string { return call(rule(fmt.Sprint("r", n%routes), "s", n, more), "") }
+	for n := 1; n <= changes; n++ {
+		if n%5 == 0 { // some overtake the next one
+			table = taken(t, table, order(n+routes, ""))
+		}
+		table = taken(t, table, order(n, ""))
+	}
+	for _, table := range []Table{table, stored(t, table)} {
+		for n := 1; n <= changes; n++ {
+			verdict, err := table.Admit(Call{Items: take(t, order(n, ""))})
+			assert.Assert(t, err == nil && verdict == operations.Repeated, "order %d: %v", n, err)
+			assert.Assert(t, errors.Is(admit(table, Call{Items: take(t, order(n, `,"X":1`))}), ErrConflict), "order %d", n)
+		}
+	}
+}
+
 // FuzzRestore reads whatever a disk may hold.
 func FuzzRestore(f *testing.F) {
 	f.Add(Item{Name: Name{Route, "r"}, Version: 3}.history.Encode(), int64(3))
