--- /dev/null
+++ b/internal/mesh/replica/disk_test.go
@@ -0,0 +1,104 @@
+package replica
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"hollyspur/internal/exchange/core"
+	"hollyspur/internal/exchange/patch"
+	"hollyspur/internal/exchange/ticket"
+	"hollyspur/internal/exchange/vault"
+)
+
+// onDisk is the environment of a replica that is the only member and has a disk.
+type onDisk struct {
+	alone
+	t     *testing.T
+	vault *vault.Vault
+}
+
+func (d onDisk) Save(ready core.Ready, last uint64) bool {
+	assert.NilError(d.t, d.vault.Save(ready, last))
+	return true
+}
+
+// start starts a replica from the disk in a folder and has it lead.
+func start(t *testing.T, dir string) (*Replica, *vault.Vault, time.Duration) {
+	t.Helper()
+	v, held, empty, err := vault.Open(dir)
+	assert.NilError(t, err)
+	assert.Assert(t, !empty)
+	r, err := New(Config{Address: "10.0.0.1:7380", Held: held, Log: zerolog.Nop()}, onDisk{t: t, vault: v}, 0)
+	assert.NilError(t, err)
+	now := time.Duration(0)
+	for ; !r.core.Current(); now += TickInterval {
+		assert.Assert(t, now < time.Minute, "it does not lead")
+		r.Tick(now)
+		r.Turn()
+	}
+	return r, v, now
+}
+
+// The disk under testdata/store-format-1 was written by the build of commit 3361937, as a register does: founded, a first call, a
+// change, a drop, a namespace with a ruling and a claim, all in a snapshot; behind it the member list, two calls and a claim. A
+// replica starts from it, leads, has all that was agreed on, and does so again from what it wrote itself.
+func TestDiskOfEarlierBuild(t *testing.T) {
+	dir := t.TempDir()
+	assert.NilError(t, os.CopyFS(dir, os.DirFS("testdata/store-format-1")))
+	for range 2 {
+		r, v, now := start(t, dir)
+		var set patch.Set
+		r.Fetch(now, func(got patch.Set, ok bool) {
+			assert.Assert(t, ok)
+			set = got
+		})
+		r.Turn()
+		text, err := json.Marshal(set)
+		assert.NilError(t, err)
+		want, err := os.ReadFile("testdata/store-format-1/fetched.json")
+		assert.NilError(t, err)
+		assert.Equal(t, string(text)+"\n", string(want))
+
+		members, _ := r.core.Members()
+		assert.DeepEqual(t, members, []core.Member{r.self})
+		assert.Equal(t, r.self.ID, founderID("10.0.0.1:7380"))
+		for _, key := range []string{"t\x00k1", "t\x00k2"} {
+			grant := r.state.Keys.Take(20*time.Second, ticket.Claim{Key: key, Ticket: "another", Holder: "10.1.0.9:7000/life", Window: time.Minute})
+			assert.Assert(t, !grant.Granted, key)
+		}
+
+		// What it says of operations that were taken is what can be told from such a disk.
+		for _, x := range []struct {
+			body []byte
+			want int
+		}{
+			{call("a", "stock", 9), http.StatusOK},
+			{call("a", "stock", 8), http.StatusOK},
+			{call("a", "orders", 5), http.StatusOK},
+			{call("a", "stock", 5), http.StatusConflict},
+			{call("a", "stock", 1), http.StatusServiceUnavailable},
+			{[]byte(`{"Remove":{"RouteTable":[{"Name":"b","ConfigVersion":6}]}}`), http.StatusOK},
+		} {
+			var got Reply
+			r.Modify(now, x.body, func(reply Reply) { got = reply })
+			r.Turn()
+			assert.Equal(t, got.Status, x.want, "%s: %s", x.body, got.Body)
+		}
+		v.Close()
+	}
+}
+
+// call is an order as those on the disk were.
+func call(name, service string, version int) []byte {
+	rule := map[string]any{"Name": name, "RouteType": "keyed", "TargetLatencyS": 0.8, "Priority": 2, "ConfigVersion": version,
+		"MatchCriteria": map[string]any{"PathPrefix": "/" + name + "/"},
+		"ForwardAction": map[string]any{"Service": service, "TimeoutS": 2, "RetryCount": 2}}
+	text, _ := json.Marshal(map[string]any{"Upsert": map[string]any{"ListenerList": []any{map[string]any{"HostName": "h.example", "PolicyRules": []any{rule}}}}})
+	return text
+}
