A large call is read beside the leader's loop, its routes once, and has time by its size

Cause: 10,000 routes (1.9 MB) take 0.3 to 0.4 s of a whole core to read from their text, at the register that is called and again on the loop of the leader, on which heartbeats wait; and 0.9 s are all that both had. Change: the shell reads a call before it posts to the loop (ModifyRead, AnswerModify; Modify and Answer as before); Take reads each route's content once; a call has 4 s more for a megabyte, at each register that it passes. A table's item has its history by pointer.

--- a/internal/exchange/control/control.go
+++ b/internal/exchange/control/control.go
@@ -41,8 +41,17 @@
 	ErrorText string `json:"ErrorText"`
 }
 
+// perMegabyte is the time that a call has besides, by the size of its body: callers wait longer for a large one. 5,000 routes are
+// about a megabyte, for which an operator allows 15 s.
+const perMegabyte = 4 * time.Second
+
+// TimeFor is the time that a call has whose body is of so many bytes.
+func TimeFor(within time.Duration, bytes int) time.Duration {
+	return within + perMegabyte/1000*time.Duration(bytes)/1000
+}
+
 // Handle makes a handler of a function from a call to its answer. The body holds most bytes at the most; the function has
-// so long from when the call has come whole: callers wait longer for a large body, and a slow link may take more than that for it.
+// so long, and more for a large body, from when the call has come whole: a slow link may take more than that for it.
 func Handle[C, A any](most int64, within time.Duration, f func(ctx context.Context, r *http.Request, call C) (A, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var call C
@@ -65,7 +74,7 @@
 				return
 			}
 		}
-		ctx, cancel := context.WithTimeout(r.Context(), within)
+		ctx, cancel := context.WithTimeout(r.Context(), TimeFor(within, len(body)))
 		defer cancel()
 		a, err := f(ctx, r, call)
 		var e *Error
--- a/internal/exchange/control/control_test.go
+++ b/internal/exchange/control/control_test.go
@@ -62,6 +62,13 @@
 	assert.Equal(t, w.Code, http.StatusOK)
 }
 
+// A small call has its time, and a large one more of it in proportion.
+func TestTimeFor(t *testing.T) {
+	assert.Equal(t, TimeFor(time.Second, 0), time.Second)
+	assert.Equal(t, TimeFor(time.Second, 1000), time.Second+4*time.Millisecond)
+	assert.Equal(t, TimeFor(time.Second, 4<<20), time.Second+16777216*time.Microsecond)
+}
+
 // A caller that is sent to another address follows with the same call: the answer says where, and is no other redirect.
 func TestElsewhere(t *testing.T) {
 	const target = "http://10.0.0.4:8080/path"
--- a/internal/exchange/patch/patch.go
+++ b/internal/exchange/patch/patch.go
@@ -54,8 +54,8 @@
 	// Stamp is the log's time at which it was dropped. Of those dropped the latest MostDropped are remembered.
 	Stamp time.Duration
 
-	rule    *Rule              // of a route that stands, as read once
-	history operations.History // of the item's earlier operations; only where calls are taken
+	rule    *Rule               // of a route that stands, as read once
+	history *operations.History // of the item's earlier operations; only where calls are taken
 }
 
 // Rule is a route's content; nil: it is no route, or none that can be read.
@@ -197,6 +197,7 @@
 	if verdict == operations.Repeated || verdict == operations.Unknown {
 		return t, nil, nil, doubt
 	}
+	c.Items = withRules(c.Items)
 	if err := t.unfit(c); err != nil {
 		return t, nil, nil, err
 	}
@@ -224,6 +225,17 @@
 	return next, raised, effects, doubt
 }
 
+// withRules are the same items with the routes' contents read, once for all that is to come: of a large call that is most of
+// the work.
+func withRules(items []Item) []Item {
+	out := make([]Item, len(items))
+	for n, i := range items {
+		i.rule = i.Rule()
+		out[n] = i
+	}
+	return out
+}
+
 // unfit is what a call that was not taken before has against what stands; nil: nothing.
 func (t Table) unfit(c Call) error {
 	called := map[string]bool{}
--- a/internal/exchange/register/calls.go
+++ b/internal/exchange/register/calls.go
@@ -26,14 +26,15 @@
 
 // takeModify has an operator's call agreed on, here or at the leader.
 func (r *Register) takeModify(ctx context.Context, body []byte) error {
-	if _, err := patch.Read(body); err != nil {
+	c, err := patch.ReadCall(body)
+	if err != nil {
 		reply := replica.StatusOf(err)
 		r.log.Info().Err(err).Msg("a call was refused")
 		return control.Fault(reply.Status, string(reply.Body))
 	}
 	done := make(chan replica.Reply, 1)
 	r.Do(func() {
-		r.replica.Modify(r.now(), body, func(reply replica.Reply) { done <- reply })
+		r.replica.ModifyRead(r.now(), c, body, func(reply replica.Reply) { done <- reply })
 	})
 	select {
 	case reply := <-done:
--- a/internal/exchange/register/environment.go
+++ b/internal/exchange/register/environment.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hollyspur/internal/exchange/control"
 	"hollyspur/internal/exchange/core"
 	"hollyspur/internal/exchange/trunk"
 	"hollyspur/internal/exchange/vault"
@@ -22,7 +23,7 @@
 func (e environment) AskReplica(address string, kind byte, body []byte, done func(replica.Reply)) {
 	l := e.r.link(address)
 	go func() {
-		ctx, cancel := context.WithTimeout(e.r.ctx, replica.AnswerWithin)
+		ctx, cancel := context.WithTimeout(e.r.ctx, control.TimeFor(replica.AnswerWithin, len(body)))
 		defer cancel()
 		reply := replica.Unavailable("")
 		if t, err := l.ask(ctx, kind, body); err == nil {
--- a/internal/exchange/register/links.go
+++ b/internal/exchange/register/links.go
@@ -10,6 +10,7 @@
 
 	"hollyspur/internal/exchange/core"
 	"hollyspur/internal/exchange/directory"
+	"hollyspur/internal/exchange/patch"
 	"hollyspur/internal/exchange/trunk"
 	"hollyspur/internal/exchange/trunk/wire"
 	"hollyspur/internal/exchange/vault"
@@ -184,6 +185,8 @@
 				c.Send(&wire.ToldT{Id: v.Id, Status: http.StatusOK, Body: r.ring.Held()})
 			case trunk.AskStatus:
 				r.answerStatus(c, v.Id)
+			case trunk.AskModify:
+				go r.answerModify(c, v)
 			default:
 				r.Do(func() { r.answer(c, v, line) })
 			}
@@ -198,6 +201,20 @@
 	}
 }
 
+// answerModify answers another register's call that an operator's call be agreed on. It is not read by Run's goroutine, which has
+// heartbeats to answer, nor by that of the trunk, on which they come.
+func (r *Register) answerModify(c *trunk.Conn, a *wire.AskT) {
+	tell := func(reply replica.Reply) {
+		c.Send(&wire.ToldT{Id: a.Id, Status: uint16(reply.Status), Body: reply.Body})
+	}
+	call, err := patch.ReadCall(a.Body)
+	if err != nil {
+		tell(replica.StatusOf(err))
+		return
+	}
+	r.Do(func() { r.replica.AnswerModify(r.now(), call, tell) })
+}
+
 // answer answers a call of a line or a register.
 func (r *Register) answer(c *trunk.Conn, a *wire.AskT, line bool) {
 	r.replica.Answer(r.now(), a.Kind, a.Body, line, func(reply replica.Reply) {
--- a/internal/mesh/operations/operations.go
+++ b/internal/mesh/operations/operations.go
@@ -51,8 +51,7 @@
 	Unknown                    // whether it was taken has been forgotten
 )
 
-// History is what is remembered of one item's operations. The zero value is that of an item that had none. It is never
-// changed once made.
+// History is what is remembered of one item's operations. Nil is that of an item that had none. It is never changed once made.
 type History struct {
 	taken     []Operation // by rising version
 	lossy     bool        // some were forgotten
@@ -60,16 +59,24 @@
 }
 
 // Lost is a history that knows nothing of the versions up to the given one.
-func Lost(version int64) History { return History{lossy: true, forgotten: version} }
+func Lost(version int64) *History { return &History{lossy: true, forgotten: version} }
 
 // Len is how many operations are remembered.
-func (h History) Len() int { return len(h.taken) }
+func (h *History) Len() int { return len(h.Operations()) }
 
 // Operations are those that are remembered, by rising version. The caller must not change them.
-func (h History) Operations() []Operation { return h.taken }
+func (h *History) Operations() []Operation {
+	if h == nil {
+		return nil
+	}
+	return h.taken
+}
 
 // Judge tells what an operation is.
-func (h History) Judge(version int64, digest Digest) Verdict {
+func (h *History) Judge(version int64, digest Digest) Verdict {
+	if h == nil {
+		return New
+	}
 	at, found := h.find(version)
 	switch {
 	case found && h.taken[at].Digest == digest:
@@ -83,33 +90,38 @@
 }
 
 // With is the history with one more operation. One whose version is remembered already changes nothing.
-func (h History) With(o Operation) History {
+func (h *History) With(o Operation) *History {
 	at, found := h.find(o.Version)
 	if found {
 		return h
 	}
-	taken := make([]Operation, 0, len(h.taken)+1)
-	taken = append(taken, h.taken[:at]...)
+	var next History
+	if h != nil {
+		next = *h
+	}
+	taken := make([]Operation, 0, len(next.taken)+1)
+	taken = append(taken, next.taken[:at]...)
 	taken = append(taken, o)
-	h.taken = append(taken, h.taken[at:]...)
-	return h
+	next.taken = append(taken, next.taken[at:]...)
+	return &next
 }
 
 // Without is the history that has forgotten the operation of a version.
-func (h History) Without(version int64) History {
+func (h *History) Without(version int64) *History {
 	at, found := h.find(version)
 	if !found {
 		return h
 	}
-	h.taken = slices.Delete(slices.Clone(h.taken), at, at+1)
+	next := *h
+	next.taken = slices.Delete(slices.Clone(h.taken), at, at+1)
 	if !h.lossy || version > h.forgotten {
-		h.lossy, h.forgotten = true, version
+		next.lossy, next.forgotten = true, version
 	}
-	return h
+	return &next
 }
 
-func (h History) find(version int64) (at int, found bool) {
-	return slices.BinarySearchFunc(h.taken, version, func(o Operation, version int64) int { return cmp.Compare(o.Version, version) })
+func (h *History) find(version int64) (at int, found bool) {
+	return slices.BinarySearchFunc(h.Operations(), version, func(o Operation, version int64) int { return cmp.Compare(o.Version, version) })
 }
 
 // Sizes of an encoded history in bytes: the head holds the format, whether some were forgotten, and up to which version.
@@ -121,7 +133,10 @@
 
 // Encode is the history as bytes, of at least headSize: an item that was stored without a history is told from one that has
 // an empty one.
-func (h History) Encode() []byte {
+func (h *History) Encode() []byte {
+	if h == nil {
+		h = new(History)
+	}
 	out := make([]byte, 0, headSize+len(h.taken)*recordSize)
 	lossy := byte(0)
 	if h.lossy {
@@ -138,16 +153,16 @@
 }
 
 // Decode reads what Encode made. The error is ErrEncoding.
-func Decode(in []byte) (History, error) {
+func Decode(in []byte) (*History, error) {
 	if len(in) < headSize || in[0] != format || in[1] > 1 || (len(in)-headSize)%recordSize != 0 {
-		return History{}, errors.Annotatef(ErrEncoding, "%d bytes", len(in))
+		return nil, errors.Annotatef(ErrEncoding, "%d bytes", len(in))
 	}
-	h := History{lossy: in[1] == 1, forgotten: int64(binary.BigEndian.Uint64(in[2:]))}
+	h := &History{lossy: in[1] == 1, forgotten: int64(binary.BigEndian.Uint64(in[2:]))}
 	for in = in[headSize:]; len(in) > 0; in = in[recordSize:] {
 		o := Operation{Version: int64(binary.BigEndian.Uint64(in)), At: time.Duration(binary.BigEndian.Uint64(in[8:]))}
 		copy(o.Digest[:], in[16:])
 		if n := len(h.taken); n > 0 && h.taken[n-1].Version >= o.Version {
-			return History{}, errors.Annotatef(ErrEncoding, "version %d is out of order", o.Version)
+			return nil, errors.Annotatef(ErrEncoding, "version %d is out of order", o.Version)
 		}
 		h.taken = append(h.taken, o)
 	}
--- a/internal/mesh/operations/operations_test.go
+++ b/internal/mesh/operations/operations_test.go
@@ -16,7 +16,7 @@
 // A history gives each operation its verdict, in whatever order they were taken, and after some were forgotten it says that
 // it can't tell rather than that they are new.
 func TestJudge(t *testing.T) {
-	var h History
+	var h *History
 	for _, version := range []int64{5, 2, 9} {
 		h = h.With(operation(version, "x"))
 	}
@@ -50,7 +50,7 @@
 func TestEncode(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	for range 200 {
-		var h History
+		var h *History
 		for range random.IntN(9) {
 			h = h.With(operation(random.Int64N(40)-20, "x"))
 		}
@@ -73,7 +73,7 @@
 		}
 	}
 	twice := operation(3, "x")
-	encoded := History{taken: []Operation{twice, twice}}.Encode()
+	encoded := (&History{taken: []Operation{twice, twice}}).Encode()
 	_, err := Decode(encoded)
 	assert.Assert(t, errors.Is(err, ErrEncoding))
 }
--- a/internal/mesh/replica/calls.go
+++ b/internal/mesh/replica/calls.go
@@ -96,9 +96,19 @@
 
 // Modify has an operator's call agreed on, here or at the leader.
 func (r *Replica) Modify(now time.Duration, body []byte, done func(Reply)) {
+	c, err := patch.ReadCall(body)
+	if err != nil {
+		done(StatusOf(err))
+		return
+	}
+	r.ModifyRead(now, c, body, done)
+}
+
+// ModifyRead is Modify of a call that was read from its body already: a large one takes longer than heartbeats may wait.
+func (r *Replica) ModifyRead(now time.Duration, c patch.Call, body []byte, done func(Reply)) {
 	r.at(now)
 	if r.core.Leads() {
-		r.modifyAsLeader(body, done)
+		r.admit(c, done)
 		return
 	}
 	leader := r.leaderAddress()
@@ -125,11 +135,12 @@
 	r.at(now)
 	switch kind {
 	case trunk.AskModify:
-		if !r.core.Leads() {
-			reply(Unavailable("not the leader"))
+		c, err := patch.ReadCall(body)
+		if err != nil {
+			reply(StatusOf(err))
 			return
 		}
-		r.modifyAsLeader(body, reply)
+		r.AnswerModify(now, c, reply)
 	case trunk.AskRead:
 		r.answerRead(reply)
 	case trunk.AskTable:
@@ -148,6 +159,12 @@
 	}
 }
 
+// AnswerModify answers another replica's call that an operator's call be agreed on, which was read already.
+func (r *Replica) AnswerModify(now time.Duration, c patch.Call, reply func(Reply)) {
+	r.at(now)
+	r.admit(c, reply)
+}
+
 func (r *Replica) answerRead(reply func(Reply)) {
 	if !r.core.Leads() {
 		reply(Unavailable(""))
--- a/internal/mesh/replica/modify.go
+++ b/internal/mesh/replica/modify.go
@@ -46,20 +46,11 @@
 	}
 }
 
-// modifyAsLeader has an operator's call agreed on. Whether it may be is judged by all that may have been agreed on before, so it
-// waits while an entry that names one of its items is not applied.
-func (r *Replica) modifyAsLeader(body []byte, done func(Reply)) {
-	c, err := patch.ReadCall(body)
-	if err != nil {
-		done(StatusOf(err))
-		return
-	}
-	r.admit(c, done)
-}
-
+// admit has an operator's call agreed on, at the leader. Whether it may be is judged by all that may have been agreed on before, so
+// it waits while an entry that names one of its items is not applied.
 func (r *Replica) admit(c patch.Call, done func(Reply)) {
 	if !r.core.Leads() {
-		done(Unavailable("not the leader any more"))
+		done(Unavailable("not the leader"))
 		return
 	}
 	if index := r.undecided(c); index > r.core.Applied() {
