--- a/internal/exchange/patch/history_test.go
+++ b/internal/exchange/patch/history_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"testing"
@@ -161,6 +162,69 @@
 	}
 }
 
+// takeWithoutHistory is Take as the build before had it, which may have applied the same entries on another register.
+func takeWithoutHistory(table Table, c Call) Table {
+	if table.unfit(c) != nil {
+		return table
+	}
+	next, _ := table.Merge(c.Items)
+	return next
+}
+
+// Which items stand is the same on registers that remember, that remember nothing, and that have forgotten at any time: otherwise
+// registers of two builds, or one that began with another's snapshot, would part.
+func TestItemsWithoutHistories(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 7))
+	item := func() Item {
+		n := random.IntN(4)
+		version := int64(1 + random.IntN(9))
+		service := fmt.Sprint("s", random.IntN(2))
+		switch {
+		case n < 2:
+			return Item{Name: Name{Service, fmt.Sprint("s", n)}, Version: version, Dropped: random.IntN(3) == 0, Body: []byte("{}")}
+		case random.IntN(4) == 0:
+			return Item{Name: Name{Route, fmt.Sprint("r", n)}, Version: version, Dropped: true}
+		}
+		return Item{Name: Name{Route, fmt.Sprint("r", n)}, Version: version, Host: "h", Body: fmt.Appendf(nil, `{"ForwardAction":{"Service":%q}}`, service)}
+	}
+	raised, refused, open := 0, 0, 0
+	for range 300 {
+		var right, forgetful, before Table
+		for step := range 40 {
+			var c Call
+			for range 1 + random.IntN(3) {
+				c.Items = append(c.Items, item())
+			}
+			if items, fault := once(c.Items); fault == nil {
+				c.Items = items
+			} else {
+				continue
+			}
+			for n := range c.Items {
+				c.Items[n].Stamp = time.Duration(step)
+			}
+			next, news, _, err := right.Take(c)
+			right = next
+			forgetful, _, _, _ = forgetful.Take(c)
+			before = takeWithoutHistory(before, c)
+			if random.IntN(5) == 0 {
+				forgetful = Restore(Wire(forgetful.Items()).List)
+			}
+			raised += len(news)
+			switch {
+			case errors.Is(err, ErrOpen):
+				open++
+			case err != nil:
+				refused++
+			}
+			want := trunk.Bytes(Wire(before.Items()))
+			assert.Assert(t, bytes.Equal(trunk.Bytes(Wire(right.Items())), want))
+			assert.Assert(t, bytes.Equal(trunk.Bytes(Wire(forgetful.Items())), want))
+		}
+	}
+	assert.Assert(t, raised > 1000 && refused > 1000 && open > 100, "%d raised, %d refused, %d open: the calls are too tame", raised, refused, open)
+}
+
 // FuzzRestore reads whatever a disk may hold.
 func FuzzRestore(f *testing.F) {
 	f.Add(Item{Name: Name{Route, "r"}, Version: 3}.history.Encode(), int64(3))
--- a/internal/mesh/replica/modify.go
+++ b/internal/mesh/replica/modify.go
@@ -54,6 +54,10 @@
 		return
 	}
 	if index := r.undecided(c); index > r.core.Applied() {
+		if len(r.waiting) > maxProposals {
+			done(Unavailable("too much is under way"))
+			return
+		}
 		r.waiting = append(r.waiting, waiter{index, func() { r.admit(c, done) }})
 		return
 	}
