--- a/internal/exchange/vault/vault.go
+++ b/internal/exchange/vault/vault.go
@@ -6,6 +6,7 @@
 package vault
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/crc32"
 	"math"
@@ -38,6 +39,7 @@
 	files  storage.Storage
 	db     *leveldb.DB
 	sync   opt.WriteOptions
+	fresh  int // bytes that may stand in the journal; of a store that works in the foreground
 }
 
 // Held is what a store holds.
@@ -51,17 +53,22 @@
 
 // Options are how a store works.
 type Options struct {
-	// Foreground has all work done within the calls of a Vault, so that the same calls leave the same files. Tables are never
-	// merged, so it is for short lives only, as in simulations.
+	// Foreground has all work done within the calls of a Vault, so that the same calls leave the same files, as simulations
+	// need it. Tables are never merged, so it is for short lives only.
 	Foreground bool
+	// WriteBuffer is how many bytes stand in a journal before they go into a table; 0: DefaultWriteBuffer. A store takes as
+	// much memory, and time to open.
+	WriteBuffer int
 }
 
-// writeBuffer is how many bytes stand in a journal before they go into a table.
-const writeBuffer = 1 << 20
+// DefaultWriteBuffer is the WriteBuffer of registers, in bytes.
+const DefaultWriteBuffer = 1 << 20
 
 func (o Options) leveldb() *opt.Options {
-	l := &opt.Options{WriteBuffer: writeBuffer, BlockCacheCapacity: 256 << 10, OpenFilesCacheCapacity: 32,
-		CompactionTableSize: 1 << 20, Compression: opt.NoCompression, Strict: opt.DefaultStrict}
+	l := &opt.Options{WriteBuffer: cmp.Or(o.WriteBuffer, DefaultWriteBuffer), BlockCacheCapacity: 256 << 10, OpenFilesCacheCapacity: 32,
+		CompactionTableSize: 1 << 20, Compression: opt.NoCompression, Strict: opt.DefaultStrict,
+		// Once a write by a transaction has been refused, goleveldb holds its lock for ever, and Close with it.
+		DisableLargeBatchTransaction: true}
 	if o.Foreground {
 		l.CompactionL0Trigger, l.WriteL0SlowdownTrigger, l.WriteL0PauseTrigger = math.MaxInt32, math.MaxInt32, math.MaxInt32
 		l.DisableSeeksCompaction = true
@@ -110,7 +117,7 @@
 		return errors.WithType(err, ErrDamaged)
 	}
 	if err = journals(v.files); err == nil {
-		if v.db, err = leveldb.Open(v.files, o); err == nil {
+		if v.db, err = leveldb.Open(lastingNames{v.files, v.folder}, o); err == nil {
 			return nil
 		}
 	}
@@ -140,12 +147,12 @@
 	if err != nil {
 		return errors.WithType(err, ErrWrite)
 	}
-	db, err := leveldb.Open(files, v.how.leveldb())
+	db, err := leveldb.Open(lastingNames{files, v.folder}, v.how.leveldb())
 	if err != nil {
 		files.Close()
 		return errors.WithType(err, ErrWrite)
 	}
-	v.files, v.db = files, db
+	v.files, v.db, v.fresh = files, db, 0
 	return nil
 }
 
@@ -262,12 +269,32 @@
 	if v.db == nil {
 		return ErrWrite
 	}
+	if v.how.Foreground {
+		if err := v.makeRoom(b); err != nil {
+			return errors.WithType(err, ErrWrite)
+		}
+	}
 	if err := v.db.Write(b, &v.sync); err != nil {
 		return errors.WithType(err, ErrWrite)
 	}
 	return nil
 }
 
+// recordOverhead is the most bytes that goleveldb keeps beside the key and value of a record.
+const recordOverhead = 24
+
+// makeRoom opens the store again before a batch for which its journal has no room, which puts what the journal holds into a
+// table; else goleveldb would do it in the background.
+func (v *Vault) makeRoom(b *leveldb.Batch) error {
+	size := len(b.Dump()) + recordOverhead*b.Len()
+	if v.fresh += size; v.fresh < v.how.leveldb().WriteBuffer {
+		return nil
+	}
+	err := v.Reopen()
+	v.fresh = size
+	return err
+}
+
 // Save writes what a Ready must have on disk. last is the last entry that stands there before it.
 func (v *Vault) Save(r core.Ready, last uint64) error {
 	if v.db == nil {
@@ -284,6 +311,9 @@
 			b.Delete(append([]byte(nil), it.Key()...))
 		}
 		it.Release()
+		if err := it.Error(); err != nil {
+			return errors.WithType(err, ErrWrite) // else entries that were not seen would stand behind the snapshot
+		}
 		last = 0
 	}
 	for i, e := range r.Entries {
