A register that starts on a full disk keeps what it holds

Cause: whatever kept the vault from opening was taken for damage, and the vault discarded; a start on a full disk threw a whole store away (shown on the simulated disk: TestOpenVault, TestFullDiskAtStart). Change: errors of the machine that say nothing of the files are vault.ErrUnavailable, and waited for. Read errors stay damage: a member that can't read its disk is of use only when it begins anew. Also: the vault's directory and those above it are synced when made, and a vault that is discarded goes aside in one renaming, synced, before it is removed; a loss of power could undo part of a removal.

--- a/internal/exchange/register/register.go
+++ b/internal/exchange/register/register.go
@@ -99,20 +99,38 @@
 	return core.ID(binary.LittleEndian.Uint64(p[:]) &^ 1)
 }
 
-// open opens the vault and makes the core of what it holds. A vault that can't be read is as a disk that was lost.
-func (r *Register) open(set settings.Settings) error {
-	v, held, empty, err := vault.Open(set.DataDir)
-	damaged := err != nil
-	for tries := 0; err != nil; tries++ {
-		r.log.Error().Err(err).Msg("the vault can't be opened; it is begun anew, and the others are asked")
-		if tries > 50 {
-			return err
-		}
-		if err := vault.Discard(set.DataDir); err != nil {
-			r.log.Error().Err(err).Msg("and can't be removed")
+// discardsMost is how many times in a row a vault is begun anew before the register gives up.
+const discardsMost = 50
+
+// openVault opens the vault. One that is damaged is as a disk that was lost: it is begun anew, and told as damaged. One that
+// can't be opened now, as on a full disk, is waited for: what it holds may be all that is left.
+func (r *Register) openVault(f vault.Folder) (v *vault.Vault, held vault.Held, empty, damaged bool, err error) {
+	for discards := 0; ; {
+		v, held, empty, err = vault.OpenIn(f, vault.Options{})
+		switch {
+		case err == nil:
+			return v, held, empty, damaged, nil
+		case errors.Is(err, vault.ErrUnavailable):
+			r.log.Error().Err(err).Msg("the vault can't be opened; it is tried again")
+		case discards > discardsMost:
+			return nil, held, false, true, err
+		default:
+			damaged = true
+			discards++
+			r.log.Error().Err(err).Msg("the vault can't be opened; it is begun anew, and the others are asked")
+			if err := f.Discard(); err != nil {
+				r.log.Error().Err(err).Msg("and can't be removed")
+			}
 		}
 		time.Sleep(vaultRest)
-		v, held, empty, err = vault.Open(set.DataDir)
+	}
+}
+
+// open opens the vault and makes the core of what it holds.
+func (r *Register) open(set settings.Settings) error {
+	v, held, empty, damaged, err := r.openVault(vault.Directory(set.DataDir))
+	if err != nil {
+		return err
 	}
 	r.vault = v
 	if empty {
--- /dev/null
+++ b/internal/exchange/register/vault_test.go
@@ -0,0 +1,57 @@
+package register
+
+import (
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/syndtr/goleveldb/leveldb/storage"
+	"gotest.tools/v3/assert"
+
+	"hollyspur/internal/exchange/core"
+	"hollyspur/internal/exchange/vault"
+	"hollyspur/internal/mesh/sim/disk"
+)
+
+// A register that starts on a full disk waits for room and keeps what it holds; one that starts on damaged files begins anew.
+func TestOpenVault(t *testing.T) {
+	for _, damaged := range []bool{false, true} {
+		d := disk.New()
+		v, _, _, err := vault.OpenIn(d, vault.Options{})
+		assert.NilError(t, err)
+		assert.NilError(t, v.Begin(7, core.Snapshot{}))
+		v.Close()
+		if damaged {
+			damage(t, d)
+		}
+		d.SetFull(true)
+		writes := 0
+		d.OnAccess(func(a disk.Access) {
+			if a.Kind == disk.AccessCreate {
+				writes++
+			}
+			if writes > 2 {
+				d.SetFull(false)
+			}
+		})
+		r := &Register{log: zerolog.Nop()}
+		v, held, empty, told, err := r.openVault(d)
+		assert.NilError(t, err)
+		v.Close()
+		assert.Equal(t, told, damaged)
+		assert.Equal(t, empty, damaged)
+		assert.Equal(t, held.Self == 7, !damaged)
+	}
+}
+
+// damage puts a whole record of a wrong checksum and type in the store's journal.
+func damage(t *testing.T, d *disk.Disk) {
+	files, err := d.Open(false)
+	assert.NilError(t, err)
+	journals, err := files.List(storage.TypeJournal)
+	assert.NilError(t, err)
+	w, err := files.Create(journals[0])
+	assert.NilError(t, err)
+	_, err = w.Write([]byte{1, 2, 3, 4, 5, 0, 9, 'w', 'r', 'o', 'n', 'g'})
+	assert.NilError(t, err)
+	assert.NilError(t, files.Close())
+}
--- a/internal/exchange/vault/crash_test.go
+++ b/internal/exchange/vault/crash_test.go
@@ -367,3 +367,24 @@
 		})
 	}
 }
+
+// A store that can't be opened on a full disk is not damaged, and is whole once there is room.
+func TestFullDiskAtStart(t *testing.T) {
+	d := disk.New()
+	v, _, _, err := OpenIn(d, Options{})
+	assert.NilError(t, err)
+	assert.NilError(t, v.Begin(7, core.Snapshot{}))
+	assert.NilError(t, v.Save(ready(core.Hard{Term: 1}, entry(1, 1, "x")), 0))
+	d.KillProcess()
+	v.Close()
+	d.SetFull(true)
+	for range 3 {
+		_, _, _, err = OpenIn(d, Options{})
+		assert.Assert(t, errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrDamaged), "%v", err)
+	}
+	d.SetFull(false)
+	v, held, empty, err := OpenIn(d, Options{})
+	assert.NilError(t, err)
+	v.Close()
+	assert.Assert(t, !empty && held.Self == 7 && len(held.Log) == 1)
+}
--- a/internal/exchange/vault/folder.go
+++ b/internal/exchange/vault/folder.go
@@ -1,9 +1,11 @@
 package vault
 
 import (
+	"io/fs"
 	"os"
 	"path/filepath"
 
+	"github.com/juju/errors"
 	"github.com/syndtr/goleveldb/leveldb/storage"
 )
 
@@ -17,18 +19,57 @@
 	Discard() error
 }
 
-// directory is a Folder within a directory of the machine.
+// Directory is the Folder within a register's DataDir.
+func Directory(dir string) Folder { return directory(dir) }
+
 type directory string
 
 func (d directory) path() string { return filepath.Join(string(d), "vault") }
 
+// discarded is where a store goes before it is removed: a removal that a loss of power undoes in part must not leave a store
+// of some of the files.
+func (d directory) discarded() string { return d.path() + ".discarded" }
+
 // Open opens the files.
 func (d directory) Open(readOnly bool) (storage.Storage, error) {
+	if !readOnly {
+		if err := os.RemoveAll(d.discarded()); err != nil {
+			return nil, err
+		}
+		if err := makeLasting(d.path()); err != nil {
+			return nil, err
+		}
+	}
 	return storage.OpenFile(d.path(), readOnly)
 }
 
+// makeLasting makes a directory and those above it, each with a name that a loss of power leaves.
+func makeLasting(path string) error {
+	parent := filepath.Dir(path)
+	if _, err := os.Stat(parent); errors.Is(err, fs.ErrNotExist) {
+		if err := makeLasting(parent); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(path, 0o755); err != nil && !errors.Is(err, fs.ErrExist) {
+		return err
+	}
+	return syncDirectory(parent) // also of one that was there: it may have been made just before a loss of power
+}
+
 // Discard removes them.
-func (d directory) Discard() error { return os.RemoveAll(d.path()) }
+func (d directory) Discard() error {
+	if err := os.RemoveAll(d.discarded()); err != nil {
+		return err
+	}
+	if err := os.Rename(d.path(), d.discarded()); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	if err := syncDirectory(string(d)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	return os.RemoveAll(d.discarded())
+}
 
 // Sync syncs the directory.
 func (d directory) Sync() error { return syncDirectory(d.path()) }
--- a/internal/exchange/vault/journal.go
+++ b/internal/exchange/vault/journal.go
@@ -32,7 +32,7 @@
 func journals(files storage.Storage) error {
 	found, err := files.List(storage.TypeJournal)
 	if err != nil {
-		return errors.WithType(err, ErrDamaged)
+		return err
 	}
 	for _, f := range found {
 		p, err := readAll(files, f)
@@ -40,7 +40,7 @@
 			continue
 		}
 		if err != nil {
-			return errors.WithType(err, ErrDamaged)
+			return err
 		}
 		if at, ok := journal(p); !ok {
 			return errors.Annotatef(ErrDamaged, "%v at byte %d", f, at)
--- a/internal/exchange/vault/vault.go
+++ b/internal/exchange/vault/vault.go
@@ -10,6 +10,7 @@
 	"encoding/binary"
 	"hash/crc32"
 	"math"
+	"syscall"
 
 	"github.com/juju/errors"
 	"github.com/syndtr/goleveldb/leveldb"
@@ -27,9 +28,10 @@
 
 // Errors of this layer.
 const (
-	ErrDamaged = errors.ConstError("the store is damaged")
-	ErrFormat  = errors.ConstError("the store is of another format")
-	ErrWrite   = errors.ConstError("the store can't be written")
+	ErrDamaged     = errors.ConstError("the store is damaged")
+	ErrFormat      = errors.ConstError("the store is of another format")
+	ErrWrite       = errors.ConstError("the store can't be written")
+	ErrUnavailable = errors.ConstError("the store can't be opened now") // it may be whole: it must not be discarded for it
 )
 
 // Vault is an open store. It belongs to one goroutine.
@@ -114,7 +116,7 @@
 // open opens the files, once their journals have been found whole.
 func (v *Vault) open(o *opt.Options) (err error) {
 	if v.files, err = v.folder.Open(o.ReadOnly); err != nil {
-		return errors.WithType(err, ErrDamaged)
+		return unopened(err)
 	}
 	if err = journals(v.files); err == nil {
 		if v.db, err = leveldb.Open(lastingNames{v.files, v.folder}, o); err == nil {
@@ -122,6 +124,21 @@
 		}
 	}
 	v.Close()
+	return unopened(err)
+}
+
+// passing are the machine's errors that say nothing of the files: they pass once there is room, memory, a free descriptor, or
+// the process before has ended.
+var passing = []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EROFS, syscall.ENOMEM, syscall.EMFILE, syscall.ENFILE, syscall.EAGAIN,
+	syscall.EACCES, storage.ErrLocked, storage.ErrClosed}
+
+// unopened gives the error of a store that wasn't opened its type.
+func unopened(err error) error {
+	for _, p := range passing {
+		if errors.Is(err, p) {
+			return errors.WithType(err, ErrUnavailable)
+		}
+	}
 	return errors.WithType(err, ErrDamaged)
 }
 
--- a/internal/exchange/vault/vault_test.go
+++ b/internal/exchange/vault/vault_test.go
@@ -134,3 +134,27 @@
 	_, _, _, err = Open(dir)
 	assert.Assert(t, errors.Is(err, ErrFormat))
 }
+
+// A store that was discarded, or was being discarded when the power went, is gone, and another begins in its place.
+func TestDiscard(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "data")
+	begin := func() {
+		v, _, empty, err := Open(dir)
+		assert.NilError(t, err)
+		assert.Assert(t, empty)
+		assert.NilError(t, v.Begin(7, core.Snapshot{}))
+		v.Close()
+	}
+	begin()
+	assert.NilError(t, Discard(dir))
+	assert.NilError(t, Discard(dir))
+	left, err := os.ReadDir(dir)
+	assert.NilError(t, err)
+	assert.Equal(t, len(left), 0)
+	begin()
+	assert.NilError(t, os.Rename(filepath.Join(dir, "vault"), filepath.Join(dir, "vault.discarded")))
+	begin()
+	left, err = os.ReadDir(dir)
+	assert.NilError(t, err)
+	assert.Equal(t, len(left), 1)
+}
