--- a/internal/exchange/vault/folder.go
+++ b/internal/exchange/vault/folder.go
@@ -4,6 +4,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 
 	"github.com/juju/errors"
 	"github.com/syndtr/goleveldb/leveldb/storage"
@@ -88,38 +89,57 @@
 // may keep a manifest's last record, not yet synced, and lose the name of the table that the record tells of.
 type lastingNames struct {
 	storage.Storage
-	folder Folder
+	folder  Folder
+	passing *atomic.Pointer[error] // the last error of the machine that says nothing of the files
 }
 
 // Create makes a file; a journal's name is lasting from then on, a table's once it is synced.
 func (l lastingNames) Create(fd storage.FileDesc) (storage.Writer, error) {
 	w, err := l.Storage.Create(fd)
 	if err != nil {
-		return nil, err
+		return nil, l.note(err)
 	}
-	switch fd.Type {
-	case storage.TypeTable:
-		return lastingTable{w, l.folder}, nil
-	case storage.TypeJournal:
+	if fd.Type == storage.TypeJournal {
 		if err := l.folder.Sync(); err != nil {
 			w.Close()
-			return nil, err
+			return nil, l.note(err)
 		}
 	}
-	return w, nil
+	return lastingFile{w, l, fd.Type}, nil
+}
+
+// SetMeta has a manifest hold.
+func (l lastingNames) SetMeta(fd storage.FileDesc) error { return l.note(l.Storage.SetMeta(fd)) }
+
+// note remembers an error of the machine that says nothing of the files: goleveldb hands some on as text only.
+func (l lastingNames) note(err error) error {
+	if passes(err) {
+		l.passing.Store(&err)
+	}
+	return err
 }
 
-type lastingTable struct {
+type lastingFile struct {
 	storage.Writer
-	folder Folder
+	names lastingNames
+	kind  storage.FileType
 }
 
-// Sync syncs the table and its name.
-func (t lastingTable) Sync() error {
-	if err := t.Writer.Sync(); err != nil {
-		return err
+// Write writes behind the file's end.
+func (f lastingFile) Write(p []byte) (int, error) {
+	n, err := f.Writer.Write(p)
+	return n, f.names.note(err)
+}
+
+// Sync syncs the file, and a table's name.
+func (f lastingFile) Sync() error {
+	if err := f.Writer.Sync(); err != nil {
+		return f.names.note(err)
+	}
+	if f.kind != storage.TypeTable {
+		return nil
 	}
-	return t.folder.Sync()
+	return f.names.note(f.names.folder.Sync())
 }
 
 // copiedFolder is a copy in memory of a folder's files.
--- a/internal/exchange/vault/vault.go
+++ b/internal/exchange/vault/vault.go
@@ -10,6 +10,8 @@
 	"encoding/binary"
 	"hash/crc32"
 	"math"
+	"slices"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/juju/errors"
@@ -124,9 +126,13 @@
 		return unopened(err)
 	}
 	if err = journals(v.files); err == nil {
-		if v.db, err = leveldb.Open(lastingNames{v.files, v.folder}, o); err == nil {
+		names := lastingNames{v.files, v.folder, new(atomic.Pointer[error])}
+		if v.db, err = leveldb.Open(names, o); err == nil {
 			return nil
 		}
+		if passing := names.passing.Load(); passing != nil {
+			err = errors.WithType(err, ErrUnavailable)
+		}
 	}
 	v.Close()
 	return unopened(err)
@@ -137,12 +143,17 @@
 var passing = []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EROFS, syscall.ENOMEM, syscall.EMFILE, syscall.ENFILE, syscall.EAGAIN,
 	syscall.EACCES, storage.ErrLocked, storage.ErrClosed}
 
+func passes(err error) bool {
+	return slices.ContainsFunc(passing, func(p error) bool { return errors.Is(err, p) })
+}
+
 // unopened gives the error of a store that wasn't opened its type.
 func unopened(err error) error {
-	for _, p := range passing {
-		if errors.Is(err, p) {
-			return errors.WithType(err, ErrUnavailable)
-		}
+	switch {
+	case errors.Is(err, ErrUnavailable):
+		return err
+	case passes(err):
+		return errors.WithType(err, ErrUnavailable)
 	}
 	return errors.WithType(err, ErrDamaged)
 }
@@ -169,7 +180,7 @@
 	if err != nil {
 		return errors.WithType(err, ErrWrite)
 	}
-	db, err := leveldb.Open(lastingNames{files, v.folder}, v.how.leveldb())
+	db, err := leveldb.Open(lastingNames{files, v.folder, new(atomic.Pointer[error])}, v.how.leveldb())
 	if err != nil {
 		files.Close()
 		return errors.WithType(err, ErrWrite)
