A slow link that moves is no silence: trunks write and hear in parts; a late word that no key was granted is read without a race

Cause: all that waits to be written, up to 48 MB, had 2 s in one write, and a frame was heard only when it was whole: a long queue or a frame of megabytes on a slow link ended the cord, and every call on it may then have run (502 for those that may not be repeated). A late answer that no key was granted wrote a flag that the attempt was reading (race detector, TestCutAtEachByte; no wrong ending came of it). Change: 64 KiB at a time have the 2 s; bytes that came count as heard; 128 KiB at most wait unsent in the socket (TCP_NOTSENT_LOWAT), for a full buffer of megabytes has room again only when a third of it has gone. TestFinish made its 25 MB while the other side, which read nothing yet, had 2 s: under load (68 on 12 cores, race detector) it failed once; the frames are made before the first is sent, the same is asked of them.

--- a/internal/exchange/line/attempt.go
+++ b/internal/exchange/line/attempt.go
@@ -227,7 +227,9 @@
 func (p *sent) answer(v *wire.AnswerT) {
 	if v.Ending == endNoKey {
 		p.mu.Lock()
-		p.noKey = !p.over
+		if !p.over { // else the attempt may be looking at it
+			p.noKey = true
+		}
 		p.mu.Unlock()
 		p.end(hollyspur.Void, nil)
 		return
--- a/internal/exchange/trunk/trunk.go
+++ b/internal/exchange/trunk/trunk.go
@@ -26,9 +26,13 @@
 
 // Limits of a connection.
 const (
-	mostFrame   = 32 << 20 // bytes of one frame: a snapshot is one
-	mostQueued  = 48 << 20 // bytes that wait to be written; beyond that the other side does not read
+	mostFrame  = 32 << 20 // bytes of one frame: a snapshot is one
+	mostQueued = 48 << 20 // bytes that wait to be written; beyond that the other side does not read
+	// writeWithin is how long the other side may take nothing, and mostWrite how many bytes are given to the socket at a time:
+	// a slow link that moves is no silence.
 	writeWithin = 2 * time.Second
+	mostWrite   = 64 << 10
+	mostUnsent  = 128 << 10 // bytes that wait in the socket to be sent
 	DialWithin  = 400 * time.Millisecond
 	Every       = 300 * time.Millisecond // beats, where one side has something open
 	Silence     = 1200 * time.Millisecond
@@ -51,9 +55,10 @@
 	beat func() []byte
 	// always: beats go out whatever else was said
 	always bool
-	open   atomic.Int64 // what this side waits for on it, or works on
-	busy   atomic.Int64 // Unix ns since when there is anything
-	heard  atomic.Int64 // Unix ns of the latest frame
+	within time.Duration // writeWithin; less in tests
+	open   atomic.Int64  // what this side waits for on it, or works on
+	busy   atomic.Int64  // Unix ns since when there is anything
+	heard  atomic.Int64  // Unix ns of the latest bytes
 
 	writing sync.Mutex // held over a write, and to end the writing
 	ended   bool       // nothing more is written; guarded by writing
@@ -67,7 +72,8 @@
 }
 
 func newConn(nc net.Conn, beat func() *wire.BeatT) *Conn {
-	c := &Conn{nc: nc, r: bufio.NewReaderSize(nc, 16<<10), wake: make(chan struct{}, 1), done: make(chan struct{})}
+	c := &Conn{nc: nc, within: writeWithin, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	c.r = bufio.NewReaderSize(listening{c}, 16<<10)
 	c.beat = func() []byte { return Encode(&wire.BeatT{}) }
 	if beat != nil { // it says more than that the sender is there, so other words don't stand for it
 		c.beat, c.always = func() []byte { return Encode(beat()) }, true
@@ -77,10 +83,13 @@
 	return c
 }
 
-// hasten has a connection whose other side lost power end soon, also while bytes are under way.
+// hasten has a connection whose other side lost power end soon, also while bytes are under way, and one whose link is slow tell
+// soon that it moves.
 func hasten(_, _ string, c syscall.RawConn) error {
 	return c.Control(func(fd uintptr) {
 		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(Silence/time.Millisecond))
+		// Else a full buffer of megabytes has room again only when a third of it has gone, which a slow link takes seconds for.
+		unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, mostUnsent)
 	})
 }
 
@@ -210,13 +219,41 @@
 	if len(out) == 0 {
 		return false, nil
 	}
-	c.nc.SetWriteDeadline(time.Now().Add(writeWithin))
-	if len(out) == 1 {
-		_, err = c.nc.Write(out[0])
-	} else {
-		_, err = out.WriteTo(c.nc)
+	return true, c.writeAll(out)
+}
+
+// writeAll writes frames, together where they are short and in parts where they are long, each part within writeWithin.
+func (c *Conn) writeAll(frames net.Buffers) error {
+	for len(frames) > 0 {
+		part, rest := firstPart(frames)
+		frames = rest
+		c.nc.SetWriteDeadline(time.Now().Add(c.within))
+		var err error
+		if len(part) == 1 {
+			_, err = c.nc.Write(part[0])
+		} else {
+			_, err = part.WriteTo(c.nc)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// firstPart cuts off what is written at a time.
+func firstPart(frames net.Buffers) (part, rest net.Buffers) {
+	size := 0
+	for n, f := range frames {
+		if size += len(f); size > mostWrite {
+			keep := len(f) - (size - mostWrite)
+			part = append(part, frames[:n]...)
+			part = append(part, f[:keep])
+			frames[n] = f[keep:]
+			return part, frames[n:]
+		}
 	}
-	return true, err
+	return frames, nil
 }
 
 // Finish ends a connection once all that was said has been written and the other side has read it and closed its own end; somebody
@@ -241,6 +278,17 @@
 	}
 }
 
+// listening reads a connection and notes when anything came.
+type listening struct{ c *Conn }
+
+func (l listening) Read(p []byte) (int, error) {
+	n, err := l.c.nc.Read(p)
+	if n > 0 {
+		l.c.heard.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
 // Receive waits for the next message that is no plain beat of a line.
 func (c *Conn) Receive() (Message, error) {
 	for {
@@ -259,7 +307,6 @@
 			c.Close(err)
 			return Message{}, err
 		}
-		c.heard.Store(time.Now().UnixNano())
 		m, err := Decode(p)
 		if err != nil {
 			c.Close(err)
@@ -286,7 +333,7 @@
 	}
 }
 
-// Heard is when the latest frame came.
+// Heard is when the latest bytes came: a long frame over a slow link is no silence.
 func (c *Conn) Heard() time.Time { return time.Unix(0, c.heard.Load()) }
 
 // Remote is the other side's address.
--- a/internal/exchange/trunk/trunk_test.go
+++ b/internal/exchange/trunk/trunk_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -118,8 +119,12 @@
 	assert.NilError(t, err)
 	near := <-accepted
 	const pieces = 400
-	for n := range pieces { // far more than the sockets hold
-		assert.NilError(t, near.Send(&wire.PieceT{Id: uint64(n), Body: make([]byte, 64<<10)}))
+	var frames [pieces][]byte
+	for n := range frames { // made before the first goes: the other side, which reads none yet, has the time of a write only
+		frames[n] = Encode(&wire.PieceT{Id: uint64(n), Body: make([]byte, 64<<10)})
+	}
+	for _, f := range frames { // far more than the sockets hold
+		assert.NilError(t, near.SendFrame(f))
 	}
 	finished := make(chan struct{})
 	go func() { near.Finish(context.Background()); close(finished) }()
@@ -143,3 +148,62 @@
 	<-accepted
 	assert.Assert(t, near.Err() != nil)
 }
+
+// A link that is slow and moves is no silence, however much waits to be written: the time for a write counts for each part. One
+// that takes nothing ends the connection.
+func TestSlowLink(t *testing.T) {
+	const within, frames, frame = 500 * time.Millisecond, 16, 256 << 10
+	for _, moves := range []bool{true, false} {
+		nc, far := net.Pipe()
+		c := newConn(nc, nil)
+		c.writing.Lock()
+		c.within = within
+		c.writing.Unlock()
+		began := time.Now()
+		for n := range frames {
+			assert.NilError(t, c.Send(&wire.PieceT{Id: uint64(n), Body: make([]byte, frame)}))
+		}
+		if !moves {
+			<-c.Done()
+			far.Close()
+			continue
+		}
+		// Slower than all of it in the time for one write, and each part well within it.
+		pause := 2 * within / (frames * frame / mostWrite)
+		var got int
+		for buf := make([]byte, mostWrite); got < frames*frame; time.Sleep(pause) {
+			n, err := far.Read(buf)
+			assert.NilError(t, err, "after %d bytes", got)
+			got += n
+		}
+		assert.Assert(t, time.Since(began) > within)
+		assert.NilError(t, c.Err())
+		c.Close(nil)
+	}
+}
+
+// A frame that comes in parts is heard with each: whoever waits does not take it for silence.
+func TestHeardWithinFrame(t *testing.T) {
+	nc, far := net.Pipe()
+	c := newConn(nc, nil)
+	defer c.Close(nil)
+	got := make(chan error, 1)
+	go func() {
+		_, err := c.Receive()
+		got <- err
+	}()
+	before := c.Heard()
+	frame := Encode(&wire.PieceT{Id: 1, Body: make([]byte, 100<<10)})
+	for len(frame) > 0 {
+		n := min(len(frame), 30<<10)
+		_, err := far.Write(frame[:n]) // returns once that is read
+		assert.NilError(t, err)
+		if frame = frame[n:]; len(frame) == 0 {
+			assert.NilError(t, <-got)
+		}
+		for !c.Heard().After(before) { // the reader may be about to note it
+			time.Sleep(time.Millisecond)
+		}
+		before = c.Heard()
+	}
+}
