A caller's connection that is closed is not kept in memory by the timer of its rest

Cause: with OwnTimes each new connection has such a timer, which held it for IdleTimeoutS after its end; so did each rest before. Change: one timer a connection, stopped at its end. A call to the control plane has a minute to come and be answered: its connection's deadline also ends the answer.

--- a/internal/exchange/control/control.go
+++ b/internal/exchange/control/control.go
@@ -110,8 +110,9 @@
 // Bounds of a server of calls.
 const (
 	headWithin = 5 * time.Second
-	// callWithin is how long a call may take to come whole: the largest one takes 17 s over a link of 2 Mbit/s.
-	callWithin = 30 * time.Second
+	// callWithin is how long a call may take to come whole and be answered: the largest one takes 17 s over a link of 2 Mbit/s, and
+	// as long again for what is to be done with it.
+	callWithin = time.Minute
 	idleAtMost = 30 * time.Second
 	maxHead    = 16 << 10 // bytes
 )
--- a/internal/front/http1/callers.go
+++ b/internal/front/http1/callers.go
@@ -38,19 +38,20 @@
 // caller is a caller's connection.
 type caller struct {
 	net.Conn
-	of     *callers
-	share  *pool.Share   // that it is held on
-	place  *list.Element // in of.quiet of share, or nil
-	since  time.Time     // quiet since
-	closed bool
-	used   bool         // a request came on it before
-	began  atomic.Int64 // Unix time in ns of the first byte of the request that is coming; 0: none is
-	last   atomic.Int64 // and of its latest
-	head   head         // of the request that is coming; of whoever reads the connection
-	front  *Front       // that looks ahead; nil: none does
-	ahead  *ahead       // what it has read
-	busy   atomic.Bool  // a request is being served
-	slow   *time.Timer  // runs while a head comes in pieces; of whoever reads the connection
+	of      *callers
+	share   *pool.Share   // that it is held on
+	place   *list.Element // in of.quiet of share, or nil
+	since   time.Time     // quiet since
+	closed  bool
+	used    bool         // a request came on it before
+	began   atomic.Int64 // Unix time in ns of the first byte of the request that is coming; 0: none is
+	last    atomic.Int64 // and of its latest
+	head    head         // of the request that is coming; of whoever reads the connection
+	front   *Front       // that looks ahead; nil: none does
+	ahead   *ahead       // what it has read
+	busy    atomic.Bool  // a request is being served
+	slow    *time.Timer  // runs while a head comes in pieces; of whoever reads the connection
+	resting *time.Timer  // runs while it is quiet; nil: it never was
 }
 
 func newCallers(l net.Listener, fresh *pool.Share) *callers {
@@ -162,6 +163,9 @@
 		return net.ErrClosed
 	}
 	c.closed = true
+	if c.resting != nil {
+		c.resting.Stop() // else it would keep what is closed in memory
+	}
 	c.of.count.Add(-1)
 	c.leave()
 	c.share.Give(1)
@@ -332,8 +336,11 @@
 // expireLater has the connection closed once it has been quiet for as long as it may. The caller holds the lock.
 func (c *caller) expireLater() {
 	if d := time.Duration(c.of.idle.Load()); d > 0 {
+		if c.resting != nil {
+			c.resting.Stop()
+		}
 		since := c.since
-		time.AfterFunc(d-time.Since(since), func() { c.expire(since) })
+		c.resting = time.AfterFunc(d-time.Since(since), func() { c.expire(since) })
 	}
 }
 
--- a/internal/front/http1/callers_test.go
+++ b/internal/front/http1/callers_test.go
@@ -206,6 +206,9 @@
 		t.Error("nothing bounds a head that may take longer than by the library")
 	}
 	near.Close()
+	if near.resting == nil || near.resting.Stop() {
+		t.Error("a timer keeps the closed connection in memory")
+	}
 	// One that never says anything goes once its time is over, and not before.
 	const short = 50 * time.Millisecond
 	f.Idle(short)
