--- a/internal/exchange/core/gone_test.go
+++ b/internal/exchange/core/gone_test.go
@@ -125,3 +125,39 @@
 	said := rd.After[len(rd.After)-1]
 	assert.Assert(t, said.Kind == Asked && !said.Reject)
 }
+
+// A member that stalls for less than the election timeout, on its disk or for want of a processor, costs no election: neither a
+// leader that sends nothing for so long nor a follower that hears nothing.
+func TestShortStallKeepsTheLeader(t *testing.T) {
+	const stall = electionT - beatT - 20*time.Millisecond // a beat may have been due just then, and takes a while
+	for seed := uint64(1); seed <= 40; seed++ {
+		f := newFleet(t, seed, "a", "b", "c")
+		f.run(3*time.Second + time.Duration(seed)*beatT) // other waits are drawn
+		old := f.leads()
+		term := f.nodes[old].c.Term()
+		for _, a := range f.addrs() {
+			f.cut[a] = true
+			f.run(stall)
+			delete(f.cut, a)
+			f.run(2 * beatT)
+		}
+		assert.Equal(t, f.leads(), old, "seed %d", seed)
+		assert.Equal(t, f.nodes[old].c.Term(), term)
+	}
+}
+
+// Members that miss a silent leader together ask in their order: the first election is the last, and the wait for it is bounded.
+func TestSilentLeaderIsReplacedInOneElection(t *testing.T) {
+	const bound = electionT + electionT/5 // of the first in the list, with its ticks and messages
+	for seed := uint64(1); seed <= 40; seed++ {
+		f := newFleet(t, seed, "a", "b", "c")
+		f.run(3*time.Second + time.Duration(seed)*beatT) // other waits are drawn
+		old := f.leads()
+		term := f.nodes[old].c.Term()
+		f.cut[old] = true
+		f.run(bound)
+		now := f.leads()
+		assert.Assert(t, now != "", "seed %d: none leads after %v", seed, bound)
+		assert.Equal(t, f.nodes[now].c.Term(), term+1, "seed %d", seed)
+	}
+}
