--- a/internal/sender/http1/http1.go
+++ b/internal/sender/http1/http1.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"strings"
 	"time"
 
 	"hollyspur"
@@ -247,17 +248,22 @@
 
 // wireText is a request as it is written; of one with more to come, its head.
 func wireText(r *http.Request, m *message.Request) ([]byte, error) {
-	var text bytes.Buffer
-	err := r.Write(&text)
+	var written bytes.Buffer
+	err := r.Write(&written)
+	text := written.Bytes()
+	if strings.HasPrefix(r.URL.Opaque, "//") {
+		// The library takes such a target for an authority, and puts the scheme that it has not in front.
+		text = bytes.Replace(text, []byte(" ://"), []byte(" //"), 1)
+	}
 	if m.More == nil {
-		return text.Bytes(), err
+		return text, err
 	}
 	// The library finds the body shorter than told, or ends it.
-	n := bytes.Index(text.Bytes(), headEnd)
+	n := bytes.Index(text, headEnd)
 	if n < 0 {
 		return nil, errors.Join(errors.New("no head"), err)
 	}
-	return text.Bytes()[:n+len(headEnd)], nil
+	return text[:n+len(headEnd)], nil
 }
 
 var headEnd = []byte("\r\n\r\n")
--- a/internal/sender/http1/http1_test.go
+++ b/internal/sender/http1/http1_test.go
@@ -456,3 +456,18 @@
 		}
 	}
 }
+
+// A target goes out as it came, one that the library would take for an authority, too.
+func TestTargetUnchanged(t *testing.T) {
+	t.Parallel()
+	addr, got := testkit.Stub(t, ok, false)
+	for _, target := range []string{"/a%20b/?c", "//x/y?z=://", "/", "/%2F%2f//"} {
+		m := &message.Request{Method: "POST", URL: &url.URL{Opaque: target}, Authority: "app.svc", Header: map[string][]string{}, Body: []byte("a ://b")}
+		if res := send(t, newTestSender(10), newEndpoint(addr), m); res.ending != hollyspur.Success {
+			t.Errorf("%s: ending %d", target, res.ending)
+		}
+		if r := testkit.Wait(t, got); r.RequestURI != target || r.Text != "a ://b" {
+			t.Errorf("%s came as %s, with %q", target, r.RequestURI, r.Text)
+		}
+	}
+}
