An order that was taken is acknowledged again behind an entry of its own

Change: an empty entry is agreed on first; every build passes over one without effect. The test of TestModifyInOrder that no entry is needed is replaced by one that it is, and that nothing is said before it is applied. Ruled out: proposing the whole call again, which for a large one costs its bytes once more.

--- a/internal/mesh/replica/modify.go
+++ b/internal/mesh/replica/modify.go
@@ -81,16 +81,20 @@
 	return r.modifying.underWay(r.core.Term(), c)
 }
 
-// acknowledgeAgain answers a call that was taken before. Nothing is to be agreed on, but a majority has to follow this leader: one
-// that was cut off acknowledges nothing.
+// acknowledgeAgain answers a call that was taken before, once an empty entry behind it is agreed on: a majority of the members that
+// are there now then has the call on disk. A confirmed read would not do, for a majority may follow this leader while the other
+// disk that held the call has just been lost.
 func (r *Replica) acknowledgeAgain(done func(Reply)) {
-	r.Confirm(r.now, func(_ uint64, ok bool) {
-		if !ok {
-			done(Unavailable("it was taken before; that could not be confirmed in time"))
+	ok := r.Propose(r.now, nil, func(_ Outcome, known bool) {
+		if !known {
+			done(Unavailable("it was taken before; another leader took over before that was confirmed"))
 			return
 		}
 		done(Reply{Status: http.StatusOK})
 	})
+	if !ok {
+		done(Unavailable("not the leader any more"))
+	}
 }
 
 func (r *Replica) proposeCall(c patch.Call, done func(Reply)) {
--- a/internal/mesh/replica/modify_test.go
+++ b/internal/mesh/replica/modify_test.go
@@ -84,12 +84,14 @@
 	assert.NilError(t, err)
 	assert.Assert(t, !strings.Contains(string(text), "beside") && strings.Contains(string(text), "apart"), "%s", text)
 	assert.Equal(t, len(r.modifying.latest), 0)
-	// An order that was taken needs no entry to be acknowledged again.
+	// An order that was taken is acknowledged again with an entry behind it, which is empty, and not before that is agreed on.
 	last := r.core.LastIndex()
 	again := send(order(5, "a", "r"))
+	assert.Equal(t, again.Status, 0)
 	r.Turn()
 	assert.Equal(t, again.Status, http.StatusOK)
-	assert.Equal(t, r.core.LastIndex(), last)
+	assert.Equal(t, r.core.LastIndex(), last+1)
+	assert.Equal(t, r.core.Applied(), last+1)
 }
 
 func callOf(t *testing.T, body []byte) patch.Call {
