Measure how the control side grows: hollow sidecars, slopes and the page made of them

Need: the size to design for (13,000 nodes) is to rest on measured slopes.

Change: internal/mesh/scale and cmd/meshscale. Hollow sidecars are a line's own parts without listeners for traffic (line.Hollow; line.New is split into assemble and listening, nothing else changes there). trunk counts what it hears by purpose as it counts what it says (trunk.Heard). An experiment file is read strictly; a run keeps what it measured when interrupted or past its bound on memory. docs/CAPACITY.md's tables are made of docs/capacity/*.json by one command, and a test compares them. New dependency for the report: gonum/plot.

Figures: trials on a machine that other work kept busy; the page says so.

--- a/internal/exchange/line/line.go
+++ b/internal/exchange/line/line.go
@@ -88,21 +88,7 @@
 
 // New listens; Run serves.
 func New(set settings.Settings, log zerolog.Logger, ring *howler.Howler) (_ *Line, err error) {
-	l := &Line{log: log, ring: ring, clock: engine.NewClock(), start: time.Now()}
-	l.set.Store(&set)
-	var p [6]byte
-	crand.Read(p[:])
-	l.life = hex.EncodeToString(p[:])
-	l.plan.Store(dialplan.Make(patch.Table{}))
-	l.dir.Store(&directory.Table{})
-	l.outs.Store(&wire.OutsT{})
-	budgets := newBudgets(set)
-	l.own = newOwn(l)
-	l.inbound = newInbound(l, sender.New(sender.Config{Idle: serverIdle, Connect: connectWithin, Connections: budgets.servers,
-		LongAnswers: budgets.toServer, Speech: serverSpeech{}, Quiet: time.Hour}))
-	l.cords = newCords(l)
-	l.pools = newPools(l, budgets)
-	l.home = newHome(l)
+	l := assemble(set, log, ring)
 	listen := func(name, addr string) net.Listener {
 		if err != nil {
 			return nil
@@ -119,10 +105,30 @@
 	if err != nil {
 		return nil, err
 	}
-	l.callers = budgets.callers
 	return l, nil
 }
 
+// assemble makes all parts of a line, which listen nowhere yet.
+func assemble(set settings.Settings, log zerolog.Logger, ring *howler.Howler) *Line {
+	l := &Line{log: log, ring: ring, clock: engine.NewClock(), start: time.Now()}
+	l.set.Store(&set)
+	var p [6]byte
+	crand.Read(p[:])
+	l.life = hex.EncodeToString(p[:])
+	l.plan.Store(dialplan.Make(patch.Table{}))
+	l.dir.Store(&directory.Table{})
+	l.outs.Store(&wire.OutsT{})
+	budgets := newBudgets(set)
+	l.own = newOwn(l)
+	l.inbound = newInbound(l, sender.New(sender.Config{Idle: serverIdle, Connect: connectWithin, Connections: budgets.servers,
+		LongAnswers: budgets.toServer, Speech: serverSpeech{}, Quiet: time.Hour}))
+	l.cords = newCords(l)
+	l.pools = newPools(l, budgets)
+	l.home = newHome(l)
+	l.callers = budgets.callers
+	return l
+}
+
 // open has callers come. Until the items are confirmed they are told when to come again: a connection that is refused
 // would cost them a try and tell them nothing.
 func (l *Line) open() error {
--- a/internal/exchange/trunk/account.go
+++ b/internal/exchange/trunk/account.go
@@ -6,8 +6,11 @@
 	"hollyspur/internal/exchange/trunk/wire"
 )
 
-// account counts what this process has said on all its trunks, by kind of frame.
-var account [len(purposes)]struct{ frames, bytes atomic.Int64 }
+// counts are of frames, by kind.
+type counts [len(purposes)]struct{ frames, bytes atomic.Int64 }
+
+// account counts what this process has said on all its trunks, heard what it was told.
+var account, heard counts
 
 // purposes are the kinds of frames by their numbers on the wire.
 var purposes = [...]string{wire.BodyNONE: "none", wire.BodyHello: "hello", wire.BodyBeat: "beat", wire.BodyRequest: "request", wire.BodyPiece: "piece",
@@ -16,16 +19,25 @@
 
 // count notes a frame that is about to be sent.
 func count(p []byte) {
-	if t := int(wire.GetRootAsFrame(p, 4).BodyType()); t < len(account) {
-		account[t].frames.Add(1)
-		account[t].bytes.Add(int64(len(p)))
+	account.add(wire.GetRootAsFrame(p, 4).BodyType(), len(p))
+}
+
+func (c *counts) add(t wire.Body, bytes int) {
+	if int(t) < len(c) {
+		c[t].frames.Add(1)
+		c[t].bytes.Add(int64(bytes))
 	}
 }
 
 // Account is what this process has said on all its trunks, by kind; kinds of which it said nothing are left out.
-func Account() (l []*wire.SaidT) {
+func Account() []*wire.SaidT { return account.list() }
+
+// Heard is what this process was told on all its trunks, in the same form.
+func Heard() []*wire.SaidT { return heard.list() }
+
+func (c *counts) list() (l []*wire.SaidT) {
 	for t, n := range purposes {
-		if x := (&wire.SaidT{Purpose: n, Frames: account[t].frames.Load(), Bytes: account[t].bytes.Load()}); x.Frames > 0 {
+		if x := (&wire.SaidT{Purpose: n, Frames: c[t].frames.Load(), Bytes: c[t].bytes.Load()}); x.Frames > 0 {
 			l = append(l, x)
 		}
 	}
--- a/internal/exchange/trunk/trunk.go
+++ b/internal/exchange/trunk/trunk.go
@@ -312,6 +312,7 @@
 			c.Close(err)
 			return Message{}, err
 		}
+		heard.add(m.Type, len(head)+len(p))
 		if m.Type == wire.BodyNONE {
 			continue // of a later version
 		}
--- /dev/null
+++ b/internal/mesh/scale/announcer.go
@@ -0,0 +1,134 @@
+package scale
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hollyspur/internal/exchange/directory"
+	"hollyspur/internal/exchange/patch"
+	"hollyspur/internal/exchange/settings"
+	"hollyspur/internal/exchange/trunk"
+	"hollyspur/internal/exchange/trunk/wire"
+)
+
+// Times of an announcer, as a sidecar has them.
+const (
+	announceEvery = 5 * time.Second
+	redialAfter   = 100 * time.Millisecond
+	askTimeout    = time.Second
+)
+
+// announcer is to the control plane what a sidecar is: a connection with heartbeats, a record that is told again and again,
+// and one reading of the whole table. It reads all that it is told and keeps nothing of it but the versions of routes, so
+// that a large mesh fits a small machine; no figure of a sidecar is taken from it. It connects to one member at a time, and
+// not to all at once as a sidecar does.
+type announcer struct {
+	set       settings.Settings
+	record    directory.Record
+	asks      trunk.Asks
+	confirmed atomic.Bool
+
+	mu       sync.Mutex // guards versions
+	versions map[string]int64
+}
+
+func newAnnouncer(set settings.Settings) *announcer {
+	r := directory.Record{Node: set.NodeName, Life: uint64(time.Now().UnixNano()), Seq: 1, Addr: set.ListenAddrs.Inbound, Zone: set.Zone,
+		Service: set.Service, Server: "i-" + set.NodeName + "-1", State: directory.Ready, Slots: serverSlots, Speaks: trunk.Version}
+	return &announcer{set: set, record: r, versions: map[string]int64{}}
+}
+
+// Run stays connected until ctx ends.
+func (a *announcer) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		seeds := a.set.Seeds()
+		hello := &wire.HelloT{Name: a.set.NodeName, Addr: a.record.Addr, Zone: a.set.Zone}
+		if c, err := trunk.Dial(ctx, seeds[rand.IntN(len(seeds))], hello, nil); err == nil {
+			a.follow(ctx, c)
+		}
+		select {
+		case <-time.After(redialAfter):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// follow reads from one member until the connection ends.
+func (a *announcer) follow(ctx context.Context, c *trunk.Conn) {
+	defer c.Close(nil)
+	defer context.AfterFunc(ctx, func() { c.Close(ctx.Err()) })()
+	c.Open(1)
+	go a.announce(c)
+	go a.confirm(ctx, c)
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			return
+		}
+		switch v := m.Value.(type) {
+		case *wire.ItemsT:
+			a.take(patch.ItemsOf(v))
+		case *wire.ToldT:
+			a.asks.Told(c, v)
+		}
+	}
+}
+
+// announce tells the record at once and then at a sidecar's pace.
+func (a *announcer) announce(c *trunk.Conn) {
+	again := time.NewTicker(announceEvery)
+	defer again.Stop()
+	r := a.record
+	r.Life = uint64(time.Now().UnixNano())
+	for {
+		c.Send(directory.Wire([]directory.Record{r}))
+		r.Seq++
+		select {
+		case <-again.C:
+		case <-c.Done():
+			return
+		}
+	}
+}
+
+// confirm reads the whole table once, as a sidecar does with each member that it follows.
+func (a *announcer) confirm(ctx context.Context, c *trunk.Conn) {
+	for c.Err() == nil {
+		within, cancel := context.WithTimeout(ctx, askTimeout)
+		t, err := a.asks.Ask(within, c, trunk.AskTable, nil)
+		cancel()
+		if err == nil && t.Status == http.StatusOK {
+			items, err := trunk.Parse(t.Body, func(p []byte) *wire.ItemsT { return wire.GetRootAsItems(p, 0).UnPack() })
+			if err == nil && len(items.List) > 0 {
+				a.take(patch.ItemsOf(items))
+				a.confirmed.Store(true)
+				return
+			}
+		}
+		time.Sleep(redialAfter)
+	}
+}
+
+func (a *announcer) take(items []patch.Item) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, i := range items {
+		if i.Kind == patch.Route {
+			a.versions[i.Name.Name] = max(a.versions[i.Name.Name], i.Version)
+		}
+	}
+}
+
+// Confirmed says that the table was read.
+func (a *announcer) Confirmed() bool { return a.confirmed.Load() }
+
+// RouteVersion is the latest version of a route that was told.
+func (a *announcer) RouteVersion(name string) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.versions[name]
+}
--- /dev/null
+++ b/internal/mesh/scale/page_test.go
@@ -0,0 +1,60 @@
+package scale
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const pagePath = "../../../docs/CAPACITY.md"
+
+// The page's tables are those that the committed results give: `meshscale page` writes them.
+func TestThePageIsOfTheResults(t *testing.T) {
+	all, err := ReadAll("../../../" + ResultsDir)
+	assert.NilError(t, err)
+	assert.Assert(t, len(all) > 0, "no results are committed")
+	page, err := os.ReadFile(pagePath)
+	assert.NilError(t, err)
+	want, err := replaceTables(string(page), Tables(all))
+	assert.NilError(t, err)
+	assert.Equal(t, string(page), want, "run: go run ./cmd/meshscale page")
+}
+
+func TestAnotherFigureGivesAnotherPage(t *testing.T) {
+	one := Results{Experiment: Experiment{Services: 3}, Measurements: []Measurement{measurement(30), measurement(100)}}
+	other := Results{Experiment: Experiment{Services: 3}, Measurements: []Measurement{measurement(30), measurement(100)}}
+	other.Measurements[1].Phases[1].Roles[RoleLeader] = Load{Processor: 0.8}
+	assert.Assert(t, Tables([]Results{one}) != Tables([]Results{other}))
+	assert.Equal(t, Tables([]Results{one}), Tables([]Results{one}))
+}
+
+func TestWhatDoesNotFitIsMarked(t *testing.T) {
+	r := Results{Experiment: Experiment{Services: 3, Registers: 3}, Measurements: []Measurement{measurement(30), measurement(100)}}
+	needs, missing := Needs([]Results{r})
+	assert.Assert(t, len(missing) > 0, "what is not measured is named")
+	var heard Need
+	for _, n := range needs {
+		if strings.HasPrefix(n.What, "bytes heard") {
+			heard = n
+		}
+	}
+	near(t, heard.Value, 50*targetNodes, 1e-6) // 650 kB a second, of 4
+	assert.Assert(t, !heard.Fits())
+	tables := Tables([]Results{r})
+	for _, line := range strings.Split(tables, "\n") {
+		if strings.Contains(line, "bytes heard with no event") {
+			assert.Assert(t, strings.Contains(line, "does not fit"), line)
+		}
+	}
+	assert.Assert(t, strings.Contains(tables, "Not measured, counted as 0 above: "), tables)
+}
+
+func TestTablesNeedTheirPlace(t *testing.T) {
+	_, err := replaceTables("a page\n"+pageEnd+pageBegin, "x")
+	assert.ErrorIs(t, err, ErrMarks)
+	page, err := replaceTables("a\n"+pageBegin+"old\n"+pageEnd+"b\n", "new\n")
+	assert.NilError(t, err)
+	assert.Equal(t, page, "a\n"+pageBegin+"new\n"+pageEnd+"b\n")
+}
--- /dev/null
+++ b/internal/mesh/scale/report.go
@@ -0,0 +1,89 @@
+package scale
+
+import (
+	"bytes"
+	"fmt"
+	"html"
+	"image/color"
+	"math"
+	"os"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	plotWidth  = 12 * vg.Centimeter
+	plotHeight = 8 * vg.Centimeter
+	curveSteps = 50
+)
+
+// WriteReport writes one page of HTML with a plot of each metric, by size, on logarithmic axes.
+func WriteReport(path string, all []Results) error {
+	var b strings.Builder
+	b.WriteString("<!doctype html>\n<html lang=\"en\"><meta charset=\"utf-8\"><title>How the control side grows</title>\n")
+	b.WriteString("<style>body{font-family:sans-serif;margin:2em} figure{display:inline-block;margin:1em} figcaption{font-size:small}</style>\n")
+	b.WriteString("<h1>How the control side grows with the number of sidecars</h1>\n")
+	for _, r := range all {
+		fmt.Fprintf(&b, "<p>%s, %s, %d cores, %.0f %% busy before. %s %s</p>\n", html.EscapeString(r.Experiment.Name), r.When.Format("2006-01-02 15:04"),
+			r.Machine.Cores, 100*r.Machine.Load, html.EscapeString(r.Experiment.Note), html.EscapeString(r.Stopped))
+	}
+	for _, m := range Metrics() {
+		g := Grow(m, all)
+		if !g.Fitted {
+			continue
+		}
+		svg, err := drawGrowth(g)
+		if err != nil {
+			return fmt.Errorf("%s: %w", m.Name, err)
+		}
+		fmt.Fprintf(&b, "<figure>%s<figcaption>%s: %s</figcaption></figure>\n", svg, html.EscapeString(m.Name), html.EscapeString(exponent(g)))
+	}
+	b.WriteString("</html>\n")
+	return os.WriteFile(path, []byte(b.String()), 0o644)
+}
+
+// drawGrowth draws the points and their fit, up to the size to design for.
+func drawGrowth(g Growth) (string, error) {
+	p := plot.New()
+	p.Title.Text = g.Metric.Name
+	p.X.Label.Text, p.Y.Label.Text = "sidecars", string(g.Metric.Unit)
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	var points, curve plotter.XYs
+	least := math.Inf(1)
+	for _, x := range g.Points {
+		if x.Y > 0 {
+			points = append(points, plotter.XY(x))
+			least = min(least, x.X)
+		}
+	}
+	for i := range curveSteps + 1 {
+		x := least * math.Pow(targetNodes/least, float64(i)/curveSteps)
+		y, _ := g.Fit.At(x)
+		curve = append(curve, plotter.XY{X: x, Y: y})
+	}
+	dots, err := plotter.NewScatter(points)
+	if err != nil {
+		return "", err
+	}
+	dots.GlyphStyle = draw.GlyphStyle{Color: color.RGBA{R: 160, A: 255}, Radius: vg.Points(3), Shape: draw.CircleGlyph{}}
+	line, err := plotter.NewLine(curve)
+	if err != nil {
+		return "", err
+	}
+	line.Color = color.RGBA{B: 160, A: 255}
+	p.Add(plotter.NewGrid(), line, dots)
+	c := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(c))
+	var out bytes.Buffer
+	if _, err := c.WriteTo(&out); err != nil {
+		return "", err
+	}
+	_, svg, _ := strings.Cut(out.String(), "?>\n") // in HTML the declaration has no place
+	return svg, nil
+}
--- /dev/null
+++ b/internal/mesh/scale/run_test.go
@@ -0,0 +1,134 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"hollyspur/internal/rig"
+)
+
+// TestMain is also the worker: runs start this program again.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 3 && os.Args[1] == "worker" {
+		if err := ServeWorker(os.Args[2], os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+const testExperiment = `
+name = "test"
+sizes = [4]
+full = [2]
+services = 2
+routes = 2
+phase_s = 0.6
+settle_s = 0
+changes_per_s = 10
+claims_per_s = 20
+restarts_per_s = 5
+keep_bound = true
+`
+
+func testRun(t *testing.T, ctx context.Context, more string, progress func(string)) Results {
+	t.Helper()
+	x, err := ParseExperiment("test", []byte(testExperiment+more))
+	assert.NilError(t, err)
+	program, err := os.Executable()
+	assert.NilError(t, err)
+	r, err := Run(ctx, x, program, func(text string) { t.Log(text); progress(text) })
+	assert.NilError(t, err)
+	assert.Assert(t, rig.Await(5*time.Second, func() bool { return len(children()) == 0 }), "left: %v", children())
+	return r
+}
+
+// children are the processes that this one has, but for zombies.
+func children() (l []string) {
+	tasks, _ := filepath.Glob("/proc/self/task/*/children")
+	for _, task := range tasks {
+		text, _ := os.ReadFile(task)
+		for _, pid := range strings.Fields(string(text)) {
+			stat, _ := os.ReadFile("/proc/" + pid + "/stat")
+			if _, state, ok := strings.Cut(string(stat), ") "); ok && !strings.HasPrefix(state, "Z") {
+				l = append(l, pid)
+			}
+		}
+	}
+	return l
+}
+
+func TestARunMeasuresEachRole(t *testing.T) {
+	r := testRun(t, t.Context(), "", func(string) {})
+	assert.Equal(t, r.Stopped, "")
+	assert.Equal(t, len(r.Measurements), 1)
+	m := r.Measurements[0]
+	assert.Equal(t, len(m.Phases), 5)
+	for _, p := range m.Phases {
+		assert.Assert(t, p.Events > 0, p.Name)
+		assert.Equal(t, len(p.Roles), 3, p.Name)
+	}
+	changes, claims, restarts := m.phase(PhaseChanges), m.phase(PhaseClaims), m.phase(PhaseRestarts)
+	assert.Equal(t, changes.Events, 6.0)
+	assert.Assert(t, changes.Roles[RoleSidecar].Heard["items"] > 0)
+	assert.Assert(t, changes.Delays[DelayInForce].Count > 0, "changes come to force at full sidecars and announcers")
+	assert.Assert(t, claims.Delays[DelayGranted].Count > 0)
+	assert.Assert(t, claims.Roles[RoleSidecar].Said["ask"] > 0)
+	assert.Assert(t, claims.Roles[RoleLeader].Keys > 0)
+	assert.Assert(t, restarts.Roles[RoleSidecar].Heard["records"] > 0)
+	assert.Assert(t, m.CrashS > 0.9, "three heartbeats of 0.3 s are to be missed: %v", m.CrashS)
+	assert.Assert(t, m.Heap > 0 && m.StartAllS > 0 && m.StartOneS > 0)
+}
+
+func TestAnInterruptedRunEndsAllAndKeepsWhatItMeasured(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	r := testRun(t, ctx, "seeds = [1, 2]\nphases = [\"idle\"]\n", func(text string) {
+		if strings.Contains(text, "seed 2: started") {
+			cancel()
+		}
+	})
+	assert.Assert(t, strings.Contains(r.Stopped, context.Canceled.Error()), r.Stopped)
+	assert.Equal(t, len(r.Measurements), 2)
+	assert.Equal(t, len(r.Measurements[0].Phases), 1)
+	assert.Assert(t, r.Measurements[1].Failed != "")
+}
+
+func TestARunStopsAtItsBoundOnMemory(t *testing.T) {
+	x, err := ParseExperiment("test", []byte(testExperiment))
+	assert.NilError(t, err)
+	program, err := os.Executable()
+	assert.NilError(t, err)
+	x.MemoryGiB = 0.01 // less than the smallest mesh holds, and than a file may ask for
+	x.PhaseS = 10
+	r, err := Run(t.Context(), x, program, func(text string) { t.Log(text) })
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(r.Stopped, "memory_gib"), r.Stopped)
+	assert.Assert(t, rig.Await(5*time.Second, func() bool { return len(children()) == 0 }), "left: %v", children())
+}
+
+// Real sidecars and hollow ones hear the same of a change, to the byte.
+func TestHollowSidecarsAreToldWhatRealOnesAre(t *testing.T) {
+	r := testRun(t, t.Context(), "compare = 3\nphases = [\"idle\"]\n", func(string) {})
+	assert.Equal(t, r.Stopped, "")
+	assert.Assert(t, r.Comparison != nil)
+	of := func(m Measurement) float64 {
+		p := m.phase(PhaseChanges)
+		assert.Equal(t, p.Refused, 0)
+		var items float64
+		for _, role := range []string{RoleLeader, RoleFollower, RoleFollower} { // two followers, as a mean
+			items += p.Roles[role].Said["items"] * p.Seconds / p.Events
+		}
+		return items
+	}
+	near(t, of(r.Comparison.Hollow), of(r.Comparison.Real), 0.02)
+}
