--- a/internal/mesh/scale/run.go
+++ b/internal/mesh/scale/run.go
@@ -170,7 +170,7 @@
 	x := r.x
 	x.HeartbeatS = comparePace
 	x.ClaimsPerS = min(x.ClaimsPerS, mostRealClaims)
-	p := r.plan(x.Compare, x.Compare, x.Seeds[0], []string{PhaseIdle, PhaseChanges, PhaseClaims, PhaseRestarts})
+	p := r.plan(x.Compare, x.Compare, x.Seeds[0], []string{PhaseIdle, PhaseChanges, PhaseRestarts, PhaseClaims}) // claims last: real ones leave connections
 	c := &Comparison{Count: x.Compare}
 	alone, real := p, p
 	alone.alone, real.real = true, true
--- a/internal/mesh/scale/worker.go
+++ b/internal/mesh/scale/worker.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -13,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"sigs.k8s.io/yaml"
+
 	"hollyspur/internal/exchange/howler"
 	"hollyspur/internal/exchange/line"
 	"hollyspur/internal/exchange/settings"
@@ -21,9 +25,10 @@
 )
 
 const (
-	observeEvery = 5 * time.Millisecond // the resolution of what is observed
-	longestLine  = 64 << 20             // bytes of a request to a worker
-	gcPercent    = 50                   // as the programs set it
+	observeEvery  = 5 * time.Millisecond // the resolution of what is observed
+	longestLine   = 64 << 20             // bytes of a request to a worker
+	gcPercent     = 50                   // as the programs set it
+	settingsEvery = time.Second          // the programs look for changes of their settings
 )
 
 // sidecar is a hollow sidecar or an announcer.
@@ -40,6 +45,7 @@
 	sidecars []sidecar
 	running  sync.WaitGroup
 	observer *observer
+	dir      string // of settings files; empty: there are none yet
 }
 
 // ServeWorker runs a worker until in ends: then all its sidecars end.
@@ -51,6 +57,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	w := &Worker{kind: kind, ctx: ctx}
+	defer func() {
+		if w.dir != "" {
+			os.RemoveAll(w.dir)
+		}
+	}()
 	lines := bufio.NewScanner(in)
 	lines.Buffer(nil, longestLine)
 	answers := json.NewEncoder(out)
@@ -100,10 +111,38 @@
 	if w.kind == workerAnnounce {
 		return newAnnouncer(set), nil
 	}
+	if err := w.watchSettings(set); err != nil {
+		return nil, err
+	}
 	log, ring := howler.New(io.Discard, set.NodeName) // a log is kept, as in the program, and nothing is written out
 	return line.NewHollow(set, log, ring)
 }
 
+// watchSettings writes a sidecar's settings file and reads it again and again, as the program does: it looks for changes.
+func (w *Worker) watchSettings(set settings.Settings) error {
+	if w.dir == "" {
+		dir, err := os.MkdirTemp("", "meshscale-worker")
+		if err != nil {
+			return err
+		}
+		w.dir = dir
+	}
+	path := filepath.Join(w.dir, set.NodeName+".yaml")
+	text, err := yaml.Marshal(set)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	w.running.Go(func() {
+		for sleep(w.ctx, settingsEvery) {
+			settings.Load(path) // nothing changes it: what counts is the work
+		}
+	})
+	return nil
+}
+
 func (w *Worker) full() (l []*line.Hollow) {
 	for _, s := range w.sidecars {
 		if h, is := s.(*line.Hollow); is {
