Scale: an interrupt while a crash is measured ends all; every mistake of a file is told at once

Cause: a server that had been closed for the measurement was closed again, a panic that left what was started. The test fails without the change. A connection to a control-plane member that ends under load is made anew; two trials on a busy machine ended with 'the trunk is closed'.

--- a/internal/mesh/scale/experiment.go
+++ b/internal/mesh/scale/experiment.go
@@ -123,11 +123,9 @@
 		return Experiment{}, Faults{{File: name, Text: fmt.Sprintf("the file is longer than %d bytes", mostExperiment)}}
 	}
 	lines := fieldLines(text)
-	faults := decodeFaults(name, text)
-	x := DefaultExperiment()
-	if len(faults) == 0 {
-		toml.Unmarshal(text, &x) // its mistakes were found above
-		for _, p := range x.problems() {
+	x, faults := decode(name, text)
+	for _, p := range x.problems() {
+		if !slices.ContainsFunc(faults, func(f Fault) bool { return f.Field == p.field || f.Field == "" }) {
 			faults = append(faults, Fault{name, lines[p.field], p.field, p.text})
 		}
 	}
@@ -138,29 +136,32 @@
 	return x, nil
 }
 
-// decodeFaults are syntax errors, fields that are not known and values of a wrong type. The library's decoder ends at the
-// first value of a wrong type, so each field is decoded by itself.
-func decodeFaults(name string, text []byte) (faults Faults) {
+// decode reads all fields that can be read; faults are syntax errors, fields that are not known and values of a wrong type. The
+// library's decoder ends at the first value of a wrong type, so each field is decoded by itself.
+func decode(name string, text []byte) (x Experiment, faults Faults) {
+	x = DefaultExperiment()
 	tree := map[string]any{}
 	if err := toml.Unmarshal(text, &tree); err != nil {
-		return Faults{faultOf(name, err)}
+		return x, Faults{faultOf(name, err)}
 	}
-	lines := fieldLines(text)
-	known := fieldNames()
+	lines, known := fieldLines(text), fieldNames()
 	for field, value := range tree {
 		if !slices.Contains(known, field) {
 			faults = append(faults, Fault{name, lines[field], field, "is not known"})
 			continue
 		}
+		next := x
 		one, err := toml.Marshal(map[string]any{field: value})
 		if err == nil {
-			err = toml.Unmarshal(one, new(Experiment))
+			err = toml.Unmarshal(one, &next)
 		}
 		if err != nil {
 			faults = append(faults, Fault{name, lines[field], field, faultOf(name, err).Text})
+			continue
 		}
+		x = next
 	}
-	return faults
+	return x, faults
 }
 
 func faultOf(name string, err error) Fault {
--- a/internal/mesh/scale/experiment_test.go
+++ b/internal/mesh/scale/experiment_test.go
@@ -20,6 +20,7 @@
 		{"two of a wrong type", "name = 1\nsizes = [10]\nseeds = [-1]\n", []Fault{{Line: 1, Field: "name"}, {Line: 3, Field: "seeds"}}},
 		{"out of range", good + "registers = 0\nmemory_gib = 1000.0\n", []Fault{{Line: 3, Field: "registers"}, {Line: 4, Field: "memory_gib"}}},
 		{"missing", "name = \"x\"\n", []Fault{{Field: "sizes"}}},
+		{"mistakes of several kinds", "name = \"x\"\nsizes = [0]\nfoo = 1\nseeds = \"one\"\n", []Fault{{Line: 2, Field: "sizes"}, {Line: 3, Field: "foo"}, {Line: 4, Field: "seeds"}}},
 		{"a size in a list", "name = \"x\"\nsizes = [\n10,\n0]\n", []Fault{{Line: 2, Field: "sizes"}}},
 		{"full of other length", good + "full = [1, 2]\n", []Fault{{Line: 3, Field: "full"}}},
 		{"no size to vary at", good + "vary_routes = [5]\n", []Fault{{Field: "vary_size"}}},
--- a/internal/mesh/scale/fleet.go
+++ b/internal/mesh/scale/fleet.go
@@ -85,22 +85,30 @@
 	if err := f.configure(); err != nil {
 		return f, err
 	}
-	for _, r := range f.mesh.Registers {
-		set, err := settings.Load(filepath.Join(f.dir, r.Name+".yaml"))
-		if err != nil {
-			return f, err
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		c, err := trunk.Call(ctx, set.RegisterTrunk(""), "meshscale", nil)
-		cancel()
-		if err != nil {
+	f.callers = make([]*trunk.Caller, len(f.mesh.Registers))
+	for i := range f.callers {
+		if err := f.dial(i); err != nil {
 			return f, err
 		}
-		f.callers = append(f.callers, c)
 	}
 	return f, f.startSidecars()
 }
 
+// dial connects with a member of the control plane anew, to ask how it is.
+func (f *fleet) dial(i int) error {
+	set, err := settings.Load(filepath.Join(f.dir, f.mesh.Registers[i].Name+".yaml"))
+	if err != nil {
+		return err
+	}
+	if c := f.callers[i]; c != nil {
+		c.Close()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	f.callers[i], err = trunk.Call(ctx, set.RegisterTrunk(""), "meshscale", nil)
+	return err
+}
+
 // configure has the whole configuration acknowledged.
 func (f *fleet) configure() error {
 	f.version = 1
@@ -287,7 +295,9 @@
 		s.close()
 	}
 	for _, c := range f.callers {
-		c.Close()
+		if c != nil {
+			c.Close()
+		}
 	}
 	for _, w := range f.workers() {
 		w.close()
--- a/internal/mesh/scale/run_test.go
+++ b/internal/mesh/scale/run_test.go
@@ -103,6 +103,19 @@
 	assert.Assert(t, r.Measurements[1].Failed != "")
 }
 
+// While the crash of a server is measured that server is closed already.
+func TestAnInterruptDuringACrashEndsAll(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	r := testRun(t, ctx, "phases = [\"idle\"]\nheartbeat_s = 1.0\n", func(text string) {
+		if strings.Contains(text, "idle: ") {
+			time.AfterFunc(time.Second, cancel) // three heartbeats are to be missed first
+		}
+	})
+	assert.Assert(t, strings.Contains(r.Stopped, context.Canceled.Error()), r.Stopped)
+	assert.Equal(t, len(r.Measurements[0].Phases), 1)
+}
+
 func TestARunStopsAtItsBoundOnMemory(t *testing.T) {
 	x, err := ParseExperiment("test", []byte(testExperiment))
 	assert.NilError(t, err)
--- a/internal/mesh/scale/sample.go
+++ b/internal/mesh/scale/sample.go
@@ -61,8 +61,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		status, err := f.callers[i].Status(ctx)
 		cancel()
-		if err != nil {
-			return m, err
+		if err != nil { // on a machine that is too busy the connection may have ended for its silence
+			if err := f.dial(i); err != nil {
+				return m, err
+			}
+			continue
 		}
 		if status.Trouble == "" {
 			m.said, m.leads, m.keys = byPurpose(status.Said), status.Leads, status.Keys
--- a/internal/mesh/scale/servers.go
+++ b/internal/mesh/scale/servers.go
@@ -26,6 +26,7 @@
 	beats                           *atomic.Int64 // of all servers
 	period                          atomic.Int64  // ns
 	stop                            chan struct{}
+	once                            sync.Once // of close
 
 	mu    sync.Mutex // guards below
 	node  string
@@ -49,8 +50,8 @@
 	}()
 }
 
-// close ends it at once: it says nothing.
-func (s *server) close() { close(s.stop) }
+// close ends it at once: it says nothing. It may be called again.
+func (s *server) close() { s.once.Do(func() { close(s.stop) }) }
 
 // restart has it drain and a new instance take its place, with one heartbeat each.
 func (s *server) restart() bool {
