Capacity: homes as today's code has them, and with all machines; state and messages of each role

Reading showed that only members of the core serve sidecars: three of 23 machines where the loss of one is to be borne. The home's rows are worked out for both.

--- a/internal/mesh/scale/target.go
+++ b/internal/mesh/scale/target.go
@@ -22,7 +22,6 @@
 	budgetInForce    = 5.0       // seconds from an acknowledgement to in force everywhere
 	budgetAdded      = 1.3       // milliseconds added to a call, for 99 in 100
 	secondsOfDay     = 86_400.0
-	nodesOfMember    = float64(targetNodes) / targetMachines
 	targetRestartsPS = (targetRestarts + targetFailures) / secondsOfDay
 	targetChangesPS  = targetChanges / secondsOfDay
 )
@@ -43,6 +42,7 @@
 // What the code bounds, from reading it.
 const (
 	codeMostKeys  = 200_000 // ticket.MostHeld
+	codeMembers   = 3       // that serve sidecars where the loss of one machine is to be borne: others of 23 would wait
 	codeRefresh   = 5.0     // seconds between two tellings of a sidecar's record
 	codeSidecarMB = 8e6     // bytes of a sidecar's process beside what grows, where no comparison tells it
 )
@@ -271,13 +271,17 @@
 // sidecars and those whose home it is, so they are worked out for each frame.
 func (b *basis) homeNeeds() (l []Need) {
 	const role = "home of many"
-	heard, _, from := b.at(sidecarHeardIdle)
-	l = append(l, Need{Role: role, What: fmt.Sprintf("bytes said with no event to its %.0f sidecars", nodesOfMember), Unit: BytesPerSecond, Value: heard * nodesOfMember, Factor: math.NaN(),
-		Budget: assumedMemberLink, From: from + fmt.Sprintf(" × %.0f", nodesOfMember), Assumed: "link of a machine"})
-	frame, from := b.perFrame()
-	frames := targetNodes / codeRefresh * nodesOfMember
-	l = append(l, Need{Role: role, What: "processor with no event", Unit: Cores, Value: frame * frames, Factor: math.NaN(), Budget: assumedMemberCores,
-		From: from + fmt.Sprintf(" × %.3g frames a second", frames), Assumed: "cores of a machine"})
+	heard, _, heardFrom := b.at(sidecarHeardIdle)
+	frame, frameFrom := b.perFrame()
+	for _, homes := range []float64{codeMembers, targetMachines} {
+		sidecars := targetNodes / homes
+		of := fmt.Sprintf("with %.0f homes of %.0f sidecars", homes, sidecars)
+		l = append(l, Need{Role: role, What: "bytes said with no event, " + of, Unit: BytesPerSecond, Value: heard * sidecars, Factor: math.NaN(),
+			Budget: assumedMemberLink, From: heardFrom + fmt.Sprintf(" × %.0f", sidecars), Assumed: "link of a machine"})
+		frames := targetNodes / codeRefresh * sidecars
+		l = append(l, Need{Role: role, What: "processor with no event, " + of, Unit: Cores, Value: frame * frames, Factor: math.NaN(), Budget: assumedMemberCores,
+			From: frameFrom + fmt.Sprintf(" × %.3g frames a second", frames), Assumed: "cores of a machine"})
+	}
 	memory, ok := FitLine(Grow(metricNamed(followerResident), b.all).Points)
 	if !ok {
 		b.missing = append(b.missing, followerResident)
