--- a/internal/mesh/scale/phases.go
+++ b/internal/mesh/scale/phases.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"hollyspur/internal/exchange/directory"
@@ -15,7 +16,6 @@
 	crashTimeout  = 90 * time.Second
 	crashLook     = 50 * time.Millisecond
 	inForceWithin = 5 * time.Second // after the last change of a phase, for what is observed
-	crashRepeats  = 2
 )
 
 // measure plays all phases on a fleet that has started. What was measured is in the outcome also with an error.
@@ -326,28 +326,18 @@
 	return x.StartApp()
 }
 
-// crash has servers stop, one after the other, and measures until all full sidecars know; the mean, in seconds.
-func (f *fleet) crash(ctx context.Context) (mean float64, err error) {
-	for range crashRepeats {
-		i := f.random.IntN(len(f.servers))
-		s := f.servers[i]
-		if err := f.observe(observeRequest{Server: s.sidecar, State: directory.Down}); err != nil {
-			return 0, err
-		}
-		s.beat()
-		began := time.Now()
-		s.close()
-		reached, err := f.reached(ctx, began)
-		if err != nil {
-			return 0, err
-		}
-		mean += reached / crashRepeats
-		f.servers = append(f.servers[:i], f.servers[i+1:]...)
-		if len(f.servers) == 0 {
-			return reached, nil
-		}
-	}
-	return mean, nil
+// crash has a server stop, and measures until all full sidecars know; in seconds.
+func (f *fleet) crash(ctx context.Context) (float64, error) {
+	i := f.random.IntN(len(f.servers))
+	s := f.servers[i]
+	if err := f.observe(observeRequest{Server: s.sidecar, State: directory.Down}); err != nil {
+		return 0, err
+	}
+	s.beat()
+	began := time.Now()
+	s.close()
+	f.servers = slices.Delete(f.servers, i, i+1)
+	return f.reached(ctx, began)
 }
 
 // reached waits until what is observed has come about everywhere; in seconds.
