--- a/internal/mesh/scale/metrics_test.go
+++ b/internal/mesh/scale/metrics_test.go
@@ -95,3 +95,17 @@
 	m.Phases[1].Roles[RoleSidecar].Heard["records"] = 1500 // what came late in the phase before
 	assert.Equal(t, len(remarks(Results{Measurements: []Measurement{m}})), 0)
 }
+
+func TestAComparisonIsOfAllMembers(t *testing.T) {
+	m := measurement(3)
+	m.Phases[0].Roles[RoleFollower] = Load{Processor: 0.1, Said: map[string]float64{"core": 10}}
+	m.Phases[1].Roles[RoleFollower] = Load{Processor: 0.4, Said: map[string]float64{"core": 60}}
+	c := Comparison{Count: 3, Members: 3, Real: m, Alone: m, Hollow: m}
+	got := map[string]compared{}
+	for _, x := range comparedFigures(c) {
+		got[x.name] = x
+	}
+	near(t, got["control plane: processor, idle"].real, 0.2+2*0.1, 1e-9)
+	near(t, got["control plane: processor of a claim"].hollow, (0.5+2*0.3)*5/1000, 1e-9)
+	near(t, got["control plane: bytes said of a claim"].alone, (600+400+2*50)*5.0/1000, 1e-9)
+}
--- a/internal/mesh/scale/page.go
+++ b/internal/mesh/scale/page.go
@@ -108,16 +108,25 @@
 	for _, m := range r.Measurements {
 		for _, p := range m.Phases {
 			if why := p.excluded(); why != "" {
-				l = append(l, fmt.Sprintf("%d sidecars, %s: %s; left out of the fits", m.Size, p.Name, why))
+				l = append(l, fmt.Sprintf("%s, %s: %s; left out of the fits", m.name(), p.Name, why))
 			}
 		}
 		if n := m.behind(); n > mostBehind {
-			l = append(l, fmt.Sprintf("%d sidecars: in the time of all phases a sidecar read %.0f %% of the records that it was told", m.Size, 100*(1-n)))
+			l = append(l, fmt.Sprintf("%s: in the time of all phases a sidecar read %.0f %% of the records that it was told", m.name(), 100*(1-n)))
 		}
 	}
 	return l
 }
 
+// name tells a measurement from others of its run.
+func (m Measurement) name() string {
+	s := fmt.Sprintf("%d sidecars", m.Size)
+	if m.Varied {
+		s += fmt.Sprintf(" with %d services and %d routes", m.Services, m.Routes)
+	}
+	return s
+}
+
 func list[T any](l []T) string {
 	return strings.Trim(strings.ReplaceAll(fmt.Sprint(l), " ", ", "), "[]")
 }
--- a/internal/mesh/scale/results.go
+++ b/internal/mesh/scale/results.go
@@ -170,8 +170,9 @@
 
 // Comparison is of real sidecars with as many hollow ones, by the same phases.
 type Comparison struct {
-	Count int         `json:"count"`
-	Real  Measurement `json:"real"`
+	Count   int         `json:"count"`
+	Members int         `json:"members"` // of the control plane
+	Real    Measurement `json:"real"`
 	// Alone are hollow sidecars in processes of their own, as real ones are; Hollow are all in one process, as in other
 	// measurements. The two differ by what processes cost alone.
 	Alone  Measurement `json:"alone"`
--- a/internal/mesh/scale/run.go
+++ b/internal/mesh/scale/run.go
@@ -173,7 +173,7 @@
 	x.ClaimsPerS = min(x.ClaimsPerS, mostRealClaims)
 	p := r.plan(x.Compare, x.Compare, x.Seeds[0], []string{PhaseIdle, PhaseChanges, PhaseRestarts, PhaseClaims}) // claims last: real ones leave connections
 	p.brief = true
-	c := &Comparison{Count: x.Compare}
+	c := &Comparison{Count: x.Compare, Members: x.Registers}
 	alone, real := p, p
 	alone.alone, real.real = true, true
 	var err error
--- a/internal/mesh/scale/text.go
+++ b/internal/mesh/scale/text.go
@@ -114,15 +114,38 @@
 		y, ok := saidOf(PhaseClaims, RoleSidecar, "ask")(m)
 		return y * float64(c.Count), ok
 	})
-	add("leader: processor, idle", Cores, processor(PhaseIdle, RoleLeader))
-	add("leader: bytes said, idle", BytesPerSecond, ofPhase(PhaseIdle, func(p Phase) float64 { return sum(p.Roles[RoleLeader].Said) }))
-	add("leader: processor of a claim", CoreSeconds, perEvent(PhaseClaims, RoleLeader, false))
-	add("leader: bytes said of a claim", Bytes, saidOf(PhaseClaims, RoleLeader, "core", "told"))
-	add("leader: processor of a change", CoreSeconds, perEvent(PhaseChanges, RoleLeader, false))
-	add("leader: bytes said of a change", Bytes, saidOf(PhaseChanges, RoleLeader, "core", "items"))
+	// Which member is home to how many differs from run to run, so the members are compared together.
+	idle := ofPhase(PhaseIdle, func(p Phase) float64 { return c.members(p, func(l Load) float64 { return l.Processor }) })
+	said := ofPhase(PhaseIdle, func(p Phase) float64 {
+		return c.members(p, func(l Load) float64 { return sum(l.Said) - l.Said["told"] })
+	})
+	add("control plane: processor, idle", Cores, idle)
+	add("control plane: bytes said, idle, but answers", BytesPerSecond, said)
+	for _, of := range []struct{ name, phase string }{{"a claim", PhaseClaims}, {"a change", PhaseChanges}} {
+		add("control plane: processor of "+of.name, CoreSeconds, c.perEvent(of.phase, func(l Load) float64 { return l.Processor }))
+		add("control plane: bytes said of "+of.name, Bytes, c.perEvent(of.phase, func(l Load) float64 {
+			return l.Said["core"] + l.Said["items"] + l.Said["told"] + l.Said["ask"]
+		}))
+	}
 	return l
 }
 
+// members sums a figure over all members of the control plane.
+func (c Comparison) members(p Phase, of func(Load) float64) float64 {
+	return of(p.Roles[RoleLeader]) + float64(c.Members-1)*of(p.Roles[RoleFollower])
+}
+
+// perEvent is a figure of all members that an event costs beyond idle.
+func (c Comparison) perEvent(phase string, of func(Load) float64) func(Measurement) (float64, bool) {
+	return func(m Measurement) (float64, bool) {
+		idle, p, ok := both(m, PhaseIdle, phase)
+		if !ok {
+			return 0, false
+		}
+		return (c.members(*p, of) - c.members(*idle, of)) * p.Seconds / p.Events, true
+	}
+}
+
 func readOf(phase string) func(Measurement) (float64, bool) {
 	return func(m Measurement) (float64, bool) {
 		idle, p, ok := both(m, PhaseIdle, phase)
