--- a/internal/mesh/sim/observer.go
+++ b/internal/mesh/sim/observer.go
@@ -303,7 +303,7 @@
 		violate("%d replicas lead", leaders)
 	}
 	for _, s := range w.sidecars {
-		if !s.touch {
+		if !s.inTouch() {
 			violate("%s is not in touch", s.name)
 		}
 	}
