A keyed run that outlasts its key's window says nothing of whose the key is by then

Cause: the end of an answer in pieces, which may take longer than the window, was noted by key: the run that had the key by then counted as unknown, and its repeat was told that the answer is lost.

--- a/internal/exchange/line/keep.go
+++ b/internal/exchange/line/keep.go
@@ -85,10 +85,22 @@
 func (k *keep) set(key string, f fate, answer *wire.AnswerT) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	x := k.keys[key]
-	if x == nil {
-		return
+	if x := k.keys[key]; x != nil {
+		k.note(x, f, answer)
 	}
+}
+
+// end is set for the run of a ticket: one that outlasted its key's window says nothing of whose the key is by then.
+func (k *keep) end(key, ticket string, f fate, answer *wire.AnswerT) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if x := k.keys[key]; x != nil && x.ticket == ticket {
+		k.note(x, f, answer)
+	}
+}
+
+// note notes what became of a key. The caller holds the lock.
+func (k *keep) note(x *kept, f fate, answer *wire.AnswerT) {
 	x.fate = f
 	if f != done || answer == nil || len(answer.Body) > keepAnswer {
 		return
--- a/internal/exchange/line/keep_test.go
+++ b/internal/exchange/line/keep_test.go
@@ -40,3 +40,20 @@
 	_, ok = k.begin("b", "t", 0, time.Minute)
 	assert.Assert(t, ok && len(k.keys) == 1 && k.bytes == 0)
 }
+
+// A run that ends when its key is another's says nothing of that one.
+func TestKeepOutlasted(t *testing.T) {
+	k := newKeep()
+	k.begin("a", "t1", 0, time.Minute)
+	k.set("a", running, nil)
+	k.keys["a"].at = k.keys["a"].at.Add(-2 * time.Minute)
+	_, ok := k.begin("a", "t2", 0, time.Minute)
+	assert.Assert(t, ok)
+	k.set("a", running, nil)
+	k.end("a", "t1", unknown, nil)
+	was, _ := k.get("a")
+	assert.Equal(t, was.fate, running)
+	k.end("a", "t2", done, &wire.AnswerT{Status: 200})
+	was, _ = k.get("a")
+	assert.Equal(t, was.fate, done)
+}
--- a/internal/exchange/line/run.go
+++ b/internal/exchange/line/run.go
@@ -178,7 +178,7 @@
 
 func (r *run) set(f fate, a *wire.AnswerT) {
 	if r.held.Load() {
-		r.in.keep.set(r.q.Key, f, a)
+		r.in.keep.end(r.q.Key, r.q.Ticket, f, a)
 	}
 }
 
