--- a/internal/exchange/vault/crash_test.go
+++ b/internal/exchange/vault/crash_test.go
@@ -359,6 +359,16 @@
 	}
 }
 
+// A write that was under way when the power went, and of which sectors came in any order, leaves what was acknowledged.
+func TestHolesInLossOfPower(t *testing.T) {
+	const schedules = 100
+	for _, long := range []int{300, 6_000, 60_000} {
+		broken, first := play(schedules, func(s *swarm) { s.tears = []disk.Tear{disk.Holed} },
+			Options{Foreground: true, WriteBuffer: 256 << 10}, long)
+		assert.Check(t, broken == 0, "entries of %d: %d of %d schedules; %v", long, broken, schedules, first)
+	}
+}
+
 // A write that was under way when the power went, and of which some bits were turned on the way, is told as damage, or what is
 // held is whole: with the write or without it.
 func TestTurnedInLossOfPower(t *testing.T) {
--- a/internal/mesh/sim/disk/disk.go
+++ b/internal/mesh/sim/disk/disk.go
@@ -116,10 +116,11 @@
 }
 
 // Crash is a loss of power: the process ends, and what was not synced is kept, lost or torn by chance. tears are the ways in
-// which a file's first write that is not wholly kept may be torn; none: Cut and Zeroed.
+// which a file's first write that is not wholly kept may be torn; none: Cut, Zeroed and
+// Holed.
 func (d *Disk) Crash(rng *rand.Rand, tears ...Tear) {
 	if len(tears) == 0 {
-		tears = []Tear{Cut, Zeroed}
+		tears = []Tear{Cut, Zeroed, Holed}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/mesh/sim/disk/disk_test.go
+++ b/internal/mesh/sim/disk/disk_test.go
@@ -103,16 +103,35 @@
 	data := []byte("0123456789")
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range crashes {
-		cut := tear(data, rng, []Tear{Cut})
+		cut := tear(data, rng, Cut)
 		assert.Assert(t, len(cut) < len(data) && bytes.HasPrefix(data, cut))
-		zeroed := tear(data, rng, []Tear{Zeroed})
+		zeroed := tear(data, rng, Zeroed)
 		assert.Equal(t, len(zeroed), len(data))
 		assert.Assert(t, bytes.HasPrefix(data, bytes.TrimRight(zeroed, "\x00")) && zeroed[9] == 0)
-		assert.Equal(t, len(tear(data, rng, []Tear{Flipped})), len(data))
+		assert.Equal(t, len(tear(data, rng, Flipped)), len(data))
 	}
 	assert.DeepEqual(t, data, []byte("0123456789"))
 }
 
+// Sectors reach the disk in any order: those that do not are zeros, and none that was synced is touched.
+func TestHoledWrites(t *testing.T) {
+	content := bytes.Repeat([]byte("x"), 10*sectorSize)
+	const synced = sectorSize + 100
+	rng := rand.New(rand.NewPCG(1, 1))
+	lost := map[int]bool{}
+	for range crashes {
+		left := holed(content, synced, rng)
+		assert.Assert(t, len(left) == len(content) && bytes.HasPrefix(left, content[:synced]))
+		for start := synced; start < len(left); start = start - start%sectorSize + sectorSize {
+			lost[start] = lost[start] || left[start] == 0
+		}
+	}
+	for start, is := range lost {
+		assert.Assert(t, is, "sector at byte %d", start)
+	}
+	assert.Equal(t, len(lost), 9)
+}
+
 // A manifest's sync makes the names in the folder lasting, and the pointer to it comes after every loss of power.
 func TestManifestHolds(t *testing.T) {
 	for seed := range uint64(crashes) {
--- a/internal/mesh/sim/disk/file.go
+++ b/internal/mesh/sim/disk/file.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math/rand/v2"
+	"slices"
 )
 
 // Tear is a way in which a loss of power leaves a write that was not synced.
@@ -13,8 +14,12 @@
 	Cut     Tear = iota // the file ends within it
 	Zeroed              // the file has its length, but from some byte on zeros
 	Flipped             // it is there, with some bits turned
+	Holed               // all that was written is there, but for some sectors, which are zeros: they reach a disk in any order
 )
 
+// sectorSize is what a disk writes whole, in bytes.
+const sectorSize = 512
+
 // file is one file's bytes. Slices that were handed out are never written to: bytes are appended behind them or replaced.
 type file struct {
 	cached   []byte  // as processes see it
@@ -49,6 +54,12 @@
 	if len(f.unsynced) == 0 {
 		return
 	}
+	how := tears[rng.IntN(len(tears))]
+	if how == Holed {
+		left := holed(f.cached, f.firstUnsynced(), rng)
+		f.cached, f.synced, f.unsynced = left, left, nil
+		return
+	}
 	kept := bytes.Clone(f.synced)
 	whole := rng.IntN(len(f.unsynced) + 1)
 	for _, w := range f.unsynced[:whole] {
@@ -58,17 +69,37 @@
 		kept = append(kept, w.data...)
 	}
 	if whole < len(f.unsynced) {
-		kept = append(kept, tear(f.unsynced[whole].data, rng, tears)...)
+		kept = append(kept, tear(f.unsynced[whole].data, rng, how)...)
 	}
 	f.cached, f.synced, f.unsynced = kept, kept, nil
 }
 
+// firstUnsynced is where the bytes begin that were not synced.
+func (f *file) firstUnsynced() int {
+	if slices.ContainsFunc(f.unsynced, func(w write) bool { return w.truncate }) {
+		return 0
+	}
+	return len(f.synced)
+}
+
+// holed is a file of which some sectors, or what lies of them behind a byte, are zeros.
+func holed(content []byte, from int, rng *rand.Rand) []byte {
+	left := bytes.Clone(content)
+	for start := from; start < len(left); {
+		end := min(start-start%sectorSize+sectorSize, len(left))
+		if rng.IntN(2) == 0 {
+			clear(left[start:end])
+		}
+		start = end
+	}
+	return left
+}
+
 // tear is what a torn write leaves.
-func tear(data []byte, rng *rand.Rand, tears []Tear) []byte {
+func tear(data []byte, rng *rand.Rand, how Tear) []byte {
 	if len(data) == 0 {
 		return nil
 	}
-	how := tears[rng.IntN(len(tears))]
 	at := rng.IntN(len(data))
 	switch how {
 	case Zeroed:
