--- a/internal/exchange/line/chain_test.go
+++ b/internal/exchange/line/chain_test.go
@@ -349,9 +349,10 @@
 
 // callerConn is a connection of a caller, for any number of calls in turn.
 type callerConn struct {
-	x *chain
-	c net.Conn
-	r *bufio.Reader
+	x    *chain
+	c    net.Conn
+	r    *bufio.Reader
+	last bool // the latest answer said that none follows here
 }
 
 // outbound is where callers connect.
@@ -361,7 +362,7 @@
 	x.t.Helper()
 	c, err := net.Dial("tcp4", x.outbound())
 	assert.NilError(x.t, err)
-	return &callerConn{x, c, bufio.NewReader(c)}
+	return &callerConn{x: x, c: c, r: bufio.NewReader(c)}
 }
 
 // attemptID is a new id of a call.
@@ -391,7 +392,12 @@
 	return t
 }
 
+// exchange writes one call and reads its answer, on another connection where the answer before said that it is the last one.
 func (c *callerConn) exchange(attempt string, kind kindOfCall, how, key string, budget time.Duration) told {
+	if c.last {
+		c.c.Close()
+		*c = *c.x.dial()
+	}
 	c.c.SetDeadline(time.Now().Add(budget + testkit.Limit))
 	if _, err := io.WriteString(c.c, requestText(attempt, kind, how, key, budget)); err != nil {
 		return told{}
@@ -418,6 +424,7 @@
 	if err != nil {
 		return told{}
 	}
+	c.last = resp.Close
 	text, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return told{}
