A member that goes waits for a learner that has all, and for no other; a change under way is waited for

Change: the place of a member that goes is given by the rule that takes in one for a lost disk (members.go, lost); what is let go waits for a change that is under way.

--- a/internal/exchange/core/core.go
+++ b/internal/exchange/core/core.go
@@ -85,7 +85,6 @@
 	yielded  bool          // the leader has asked for this one's election
 
 	leaving       bool          // it was told to end
-	leaveBegan    time.Duration // when
 	released      bool          // what it holds is held by those that stay
 	leaveSaid     time.Duration // to a leader, last; or Yield was sent then
 	leaderVersion uint32        // that the leader speaks
--- a/internal/exchange/core/departure.go
+++ b/internal/exchange/core/departure.go
@@ -13,9 +13,7 @@
 // Leave says that this one is told to end. It goes on as before until MayLeave.
 func (c *Core) Leave(now time.Duration) {
 	c.now = max(c.now, now)
-	if !c.leaving {
-		c.leaving, c.leaveBegan = true, c.now
-	}
+	c.leaving = true
 	c.depart()
 }
 
@@ -36,8 +34,9 @@
 		return
 	}
 	switch {
-	case c.role == leader && c.exchangeable(c.cfg.Self.ID, c.leaveBegan):
-		c.tend()
+	case c.role == leader && c.config.Index > c.commit: // one that takes over now may not know of the change
+	case c.role == leader && c.givesPlace(c.cfg.Self.ID):
+		c.tend() // it hands over once it is a member no more
 	case c.role == leader:
 		if p := c.successor(); p != nil && p.match >= c.commit && !c.handingOver() {
 			c.leaveSaid = max(c.now, 1)
@@ -71,7 +70,7 @@
 	p.hear(c.now, m)
 	if !p.wantsToLeave(c.now - c.cfg.Election/2) {
 		c.beat() // who answers this round has not lost its disk before
-		p.leaveRound, p.leaveBegan = c.seq, c.now
+		p.leaveRound = c.seq
 	}
 	p.leaving = max(c.now, 1)
 	if p.released {
@@ -86,16 +85,16 @@
 		return
 	}
 	for _, p := range c.peers {
-		if p.wantsToLeave(c.now-c.cfg.Election/2) && (c.mayRelease(p) || c.nobodyStays()) {
+		if c.goes(p.ID) && (c.mayRelease(p) || c.nobodyStays()) {
 			p.released, p.match = true, min(p.match, c.commit)
 			c.sayMayLeave(p)
 		}
 	}
 }
 
-// mayRelease says that nothing rests on a member that was told to end: neither what is committed nor an exchange.
+// mayRelease says that nothing rests on a member that goes: neither what is committed nor a change of the members.
 func (c *Core) mayRelease(p *progress) bool {
-	return c.settled() && !c.exchangeable(p.ID, p.leaveBegan) && c.heldWithout(p)
+	return c.settled() && !c.givesPlace(p.ID) && c.heldWithout(p)
 }
 
 // settled says that no change of the members is under way, as far as this one knows.
@@ -129,15 +128,27 @@
 	return held(c.config.Members) && held(c.config.Outgoing)
 }
 
-// exchangeable says that a learner is there to take the place of a member that was told to end at an instant. The member goes
-// once that has come about, for with it gone the next loss would be the second vote; it is not waited for longer than two election
-// timeouts, so that a learner that catches up slowly keeps nobody from handing over.
-func (c *Core) exchangeable(goes ID, began time.Duration) bool {
-	if c.now-began > 2*c.cfg.Election || !c.config.votes(goes) || len(c.config.Members) < c.cfg.Size {
-		return false
+// goes says that a member is told to end and was not let go yet, as far as the leader knows.
+func (c *Core) goes(id ID) bool {
+	if id == c.cfg.Self.ID {
+		return c.leaving
+	}
+	p := c.peers.get(id)
+	return p != nil && p.wantsToLeave(c.now-c.cfg.Election/2)
+}
+
+// givesPlace says that a learner that has all stands by for the place of a member that goes. That one goes once they are
+// exchanged: with its vote gone as well, the loss of one more disk would leave no majority for good.
+func (c *Core) givesPlace(goes ID) bool {
+	if c.config.joint() {
+		return contains(c.config.Outgoing, goes) && !contains(c.config.Members, goes)
 	}
 	return slices.ContainsFunc(c.peers, func(p *progress) bool {
-		return p.joining && !c.config.votes(p.ID) && c.now-p.heard <= c.cfg.Election && p.answered && c.versionWith(p, -1) >= 1
+		if !p.joining || c.config.votes(p.ID) || c.now-p.heard > c.cfg.Election || !c.caughtUp(p) {
+			return false
+		}
+		place, _ := c.lost(p)
+		return place >= 0 && c.config.Members[place].ID == goes && c.versionWith(p, place) >= 1
 	})
 }
 
--- a/internal/exchange/core/departure_test.go
+++ b/internal/exchange/core/departure_test.go
@@ -155,7 +155,7 @@
 	}
 }
 
-// A learner that has come and hears nothing more, or never catches up, keeps a member from going for two election timeouts at most.
+// A learner that has come and hears nothing more, or never catches up, keeps no member from going.
 func TestDepartureWithLostLearner(t *testing.T) {
 	for seed := range uint64(20) {
 		f := newFleet(t, 500+seed, "a", "b", "c")
@@ -172,3 +172,58 @@
 		assert.Assert(t, f.leave(leaves, 4*electionT))
 	}
 }
+
+// A member that goes for good, leader or follower, gives its place to a learner that stands by. 50 ms after it was told to end
+// another loses its disk; those that are left are a majority all the same.
+func TestDepartureGivesPlace(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newFleet(t, 700+seed, "a", "b", "c")
+		f.step = 2 * time.Millisecond
+		f.run(2 * time.Second)
+		f.write("one")
+		f.join("d", 10)
+		f.run(time.Second)
+		f.write("two")
+		lead := f.leader().self.Addr
+		others := slices.DeleteFunc(f.addrs(), func(a string) bool { return a == lead || a == "d" })
+		leaves, wiped, stays := lead, others[0], others[1]
+		if seed%2 == 0 {
+			leaves, wiped = others[0], lead
+		}
+		f.nodes[leaves].c.Leave(f.now)
+		f.turn(leaves)
+		f.run(50 * time.Millisecond)
+		f.join(wiped, 20)
+		for end := f.now + 1500*time.Millisecond; f.now < end && !f.nodes[leaves].c.MayLeave(); {
+			f.run(f.step)
+		}
+		delete(f.nodes, leaves)
+		f.run(6 * time.Second)
+		f.write("after it")
+		left := []string{stays, wiped, "d"}
+		slices.Sort(left)
+		f.whole(left...)
+	}
+}
+
+// A learner that lacks something, or that says nothing any more, holds up nobody who is to go.
+func TestDepartureWaitsForNoLearnerThatLags(t *testing.T) {
+	for seed := range uint64(8) {
+		f := newFleet(t, 760+seed, "a", "b", "c")
+		f.run(2 * time.Second)
+		f.join("d", 10)
+		f.run(time.Second)
+		if f.cut["d"] = seed%4 < 2; !f.cut["d"] {
+			for _, a := range []string{"a", "b", "c"} {
+				f.oneWy[[2]string{a, "d"}] = true
+			}
+		}
+		f.write("without the learner")
+		f.run(time.Second)
+		leaves := f.leader().self.Addr
+		if seed%2 == 0 {
+			leaves = slices.DeleteFunc(f.addrs(), func(a string) bool { return a == leaves || a == "d" })[0]
+		}
+		assert.Assert(t, f.leave(leaves, time.Second), "seed %d", seed)
+	}
+}
--- a/internal/exchange/core/members.go
+++ b/internal/exchange/core/members.go
@@ -81,10 +81,7 @@
 	if silent >= 0 {
 		return silent, false
 	}
-	return slices.IndexFunc(c.config.Members, func(m Member) bool { // one that is told to end
-		q := c.peers.get(m.ID)
-		return m.ID == self && c.leaving || q != nil && q.wantsToLeave(c.now-c.cfg.Election/2)
-	}), false
+	return slices.IndexFunc(c.config.Members, func(m Member) bool { return c.goes(m.ID) }), false
 }
 
 // caughtUp says that a learner has all that was committed a heartbeat ago.
--- a/internal/exchange/core/progress.go
+++ b/internal/exchange/core/progress.go
@@ -22,7 +22,6 @@
 	voter       bool          // of the latest configuration
 	leaving     time.Duration // it said last that it is told to end; 0: it has not
 	leaveRound  uint64        // round of heartbeats that began when it first said so
-	leaveBegan  time.Duration // it first said so
 	released    bool          // and was told that it may: what it holds from then on does not count
 	joining     bool          // a learner that has asked to be taken in; one that was let go has to ask anew
 }
