Simulation: disks are counted when an entry is agreed on; contact through a leader

Change: which disks hold an entry is seen when the first replica applies it; who hears a replica that reaches a majority is in contact.

--- a/internal/mesh/sim/observer.go
+++ b/internal/mesh/sim/observer.go
@@ -33,6 +33,7 @@
 	contact    map[*replicaHost]bool
 	target     uint64 // applied index that all have to come up to
 	catching   map[*replicaHost]bool
+	committed  uint64 // index that some replica has applied
 	violations []history.Violation
 	lost       []lostDisk
 }
@@ -139,6 +140,7 @@
 // afterTurn sees which members are agreed on, and who has caught up.
 func (o *observer) afterTurn(h *replicaHost) {
 	s := o.sightOf(h)
+	o.noteCommitted(h)
 	for len(s.pending) > 0 && s.pending[0].index <= h.replica.Applied() {
 		v := s.pending[0]
 		s.pending = s.pending[1:]
@@ -165,9 +167,13 @@
 	return nil
 }
 
-// acknowledged sees an order acknowledged by the leader.
-func (o *observer) acknowledged(h *replicaHost) {
+// noteCommitted sees which disks hold what is agreed on, when the first replica applies it. Nothing is acknowledged before.
+func (o *observer) noteCommitted(h *replicaHost) {
 	index := h.replica.Applied()
+	if index <= o.committed {
+		return
+	}
+	o.committed = index
 	event := history.Synced{At: o.world.now, Index: index, Tolerance: replicaFault}
 	term, known, _ := h.disk.term(index)
 	members, _ := h.replica.Members()
@@ -215,14 +221,12 @@
 	})
 }
 
-// noteContacts records who can exchange messages with a quorum. It is to be called after each fault and its end.
+// noteContacts records who can exchange messages with a quorum, or with one that can and may lead. It is to be called after each fault and its end.
 func (o *observer) noteContacts() {
 	for _, h := range o.world.replicas {
 		o.sightOf(h)
-		quorum := o.reachesQuorum(h)
-		if !quorum && !o.votes(h) { // one that is no voter yet hears all from the leader
-			quorum = slices.ContainsFunc(o.world.replicas, func(other *replicaHost) bool { return o.reach(h, other) && o.reachesQuorum(other) })
-		}
+		// A majority may follow one that this one hears, though not all of it.
+		quorum := slices.ContainsFunc(o.world.replicas, func(other *replicaHost) bool { return o.reach(h, other) && o.reachesQuorum(other) })
 		if was, known := o.contact[h]; !known || was != quorum {
 			o.contact[h] = quorum
 			o.world.history.Record(history.Contact{At: o.world.now, Process: h.name, Majority: quorum})
--- a/internal/mesh/sim/replicahost.go
+++ b/internal/mesh/sim/replicahost.go
@@ -312,15 +312,6 @@
 		reply(replica.Reply{Status: http.StatusOK, Body: trunk.Bytes(t)})
 		return
 	}
-	if a.Kind == trunk.AskModify {
-		told := reply
-		reply = func(r replica.Reply) {
-			if r.Status == http.StatusOK {
-				h.world.observer.acknowledged(h)
-			}
-			told(r)
-		}
-	}
 	h.replica.Answer(h.now(), a.Kind, a.Body, sidecar, reply)
 }
 
@@ -330,13 +321,7 @@
 		done(replica.StatusOf(err))
 		return
 	}
-	leads := h.replica.Leads()
-	h.replica.Modify(h.now(), body, func(r replica.Reply) {
-		if r.Status == http.StatusOK && leads {
-			h.world.observer.acknowledged(h)
-		}
-		done(r)
-	})
+	h.replica.Modify(h.now(), body, done)
 }
 
 // fetch answers an operator's read.
