Histories: what contact with a majority means, and what an observer must tell

Cause: in 2,500 random schedules of the simulation nine fetches of two schedules were told as handed out by a member that was left behind; their contents were not old. By reading of the schedules it still reached the leader over one-way cuts. The meaning is said where the event is recorded.

--- a/internal/mesh/history/history.go
+++ b/internal/mesh/history/history.go
@@ -157,7 +157,8 @@
 	Peers   []string      `json:"peers,omitempty"` // of a Cut or Heal; none: all
 }
 
-// Contact says whether a member can, from At on, exchange messages with a majority, as the observer of the links knows it.
+// Contact says whether a member can, from At on, exchange messages with a majority, as the observer of the links knows it:
+// itself, or through a member that can. One that still reaches the leader answers with what the leader has had confirmed.
 type Contact struct {
 	At       time.Duration `json:"at_ns" validate:"gte=0"`
 	Process  string        `json:"process" validate:"required"`
