Test of maintenance sends calls until the machine drains

Change: calls go on until it drains, and begin before; each of them has to be answered or not to have run, where eight had to.

--- a/internal/rig/mesh/night_test.go
+++ b/internal/rig/mesh/night_test.go
@@ -140,15 +140,26 @@
 	x.App.Work(500 * time.Millisecond)
 	var flight sync.WaitGroup
 	var mu sync.Mutex
-	ends := map[int]int{}
-	for n := range 8 {
-		flight.Go(func() {
-			got := m.Lines[n%4].Call("POST", "/send/x", fmt.Sprint("flight", n), []byte("one"))
-			mu.Lock()
-			defer mu.Unlock()
-			ends[got.Status]++
-		})
-	}
+	ends, sent := map[int]int{}, 0
+	enough := make(chan struct{})
+	flight.Go(func() { // until it drains: some are in flight at its server at that moment
+		for ; ; sent++ {
+			select {
+			case <-enough:
+				return
+			case <-time.After(25 * time.Millisecond):
+			}
+			n := sent
+			flight.Go(func() {
+				got := m.Lines[n%4].Call("POST", "/send/x", fmt.Sprint("flight", n), []byte("one"))
+				mu.Lock()
+				defer mu.Unlock()
+				ends[got.Status]++
+			})
+		}
+	})
+	before := m.Record.By(x.App.Instance)
+	assert.Assert(t, rig.Await(patience, func() bool { return m.Record.By(x.App.Instance) >= before+4 }), "its server gets no calls")
 	m.contract(t, 2, now.Add(-time.Hour), now.Add(3*time.Hour), nil) // and now
 	leader := func() *Machine {
 		told := m.night(t, register.NightCall{}, http.StatusOK)
@@ -160,11 +171,12 @@
 		return nil
 	}
 	m.reach(t, "o1", night.Draining, night.Leading, night.Out)
+	close(enough)
 	killed := leader()
 	killed.Kill()
 	m.reach(t, "o1", night.Out)
 	flight.Wait()
-	assert.Assert(t, ends[200]+ends[503] == 8, "what was in flight is answered, or has not run: %v", ends)
+	assert.Assert(t, ends[200]+ends[503] == sent, "what was in flight is answered, or has not run: %v of %d", ends, sent)
 	assert.NilError(t, killed.Start())
 	// While it is out: nothing runs there, its line is not ready, and it says so itself.
 	ran := m.Record.By(x.App.Instance)
