A streamed response whose windows are full ends with its caller

Cause: the response waited for the send window with a context freed of the deadline and, with it, of the cancellation; and a request that may run once was never cancelled, although a streamed response of it is not kept for a repeat. Change: the request's context has no deadline, the attempt's is derived from it; a streamed response is cancelled whatever its request's kind, also when the connection between the sidecars ends (TestUpstreamGoneCancelsStream/once, red before).

--- a/internal/mesh/sidecar/flow_window.go
+++ b/internal/mesh/sidecar/flow_window.go
@@ -37,6 +37,13 @@
 	w.wakeWaiters()
 }
 
+// isClosed reports whether nothing more has to be sent.
+func (w *flowWindow) isClosed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.closed
+}
+
 // wakeWaiters wakes all goroutines that wait in acquire. The caller holds mu.
 func (w *flowWindow) wakeWaiters() {
 	if w.wake != nil {
--- a/internal/mesh/sidecar/inbound_conn.go
+++ b/internal/mesh/sidecar/inbound_conn.go
@@ -109,14 +109,14 @@
 	}
 }
 
-// connClosed is called when nobody can read the response any more. A request that may run only once is not cancelled:
-// its response is stored in case the client repeats the request.
+// connClosed is called when nobody can read the response any more. A request that may run only once is not cancelled, so
+// that its response is stored in case the client repeats the request; a streamed response is not stored.
 func (r *inboundRequest) connClosed() {
-	if !r.request.AtMostOnce {
+	r.sendWindow.close()
+	if !r.request.AtMostOnce || r.streaming.Load() {
 		r.cancel(engine.ErrWithdrawn)
 	}
 	if r.body != nil {
 		r.body.FinishTruncated()
 	}
-	r.sendWindow.close()
 }
--- a/internal/mesh/sidecar/inbound_request.go
+++ b/internal/mesh/sidecar/inbound_request.go
@@ -23,6 +23,7 @@
 	sendWindow flowWindow
 	body       *message.Stream // of a streamed request; nil if the body came with the request
 	ownsKey    atomic.Bool     // the key's lease is this request's
+	streaming  atomic.Bool     // its response is streamed
 	truncated  atomic.Bool     // its streamed response was not completed
 }
 
@@ -116,8 +117,6 @@
 	if time.Until(deadline) <= 0 { // the lease took the whole time
 		return r.conclude(balancer.NeverSent, nil)
 	}
-	ctx, stop := context.WithDeadlineCause(ctx, deadline, engine.ErrTimedOut)
-	defer stop()
 	return r.forward(ctx, endpoint, deadline)
 }
 
@@ -153,12 +152,15 @@
 	reply    *message.Reply
 }
 
-// forward sends the request to the server once. It returns the response, or streams it and returns nil.
+// forward sends the request to the server once. It returns the response, or streams it and returns nil. ctx ends when the
+// peer cancels the request.
 func (r *inboundRequest) forward(ctx context.Context, endpoint *engine.Endpoint, deadline time.Time) *wire.ResponseT {
 	sent := r.newMessage()
 	attempt := &serverAttempt{ended: make(chan struct{}), streamed: make(chan struct{})}
+	attemptCtx, stop := context.WithDeadlineCause(ctx, deadline, engine.ErrTimedOut)
+	defer stop()
 	hooks := r.attemptHooks(ctx, attempt, deadline)
-	r.inbound.sender.Start(ctx, engine.NewAttempt(endpoint, sent, time.Until(deadline), hooks))
+	r.inbound.sender.Start(attemptCtx, engine.NewAttempt(endpoint, sent, time.Until(deadline), hooks))
 	<-attempt.ended
 	if attempt.stream != nil {
 		<-attempt.streamed
@@ -175,7 +177,7 @@
 	return r.conclude(attempt.ending, reply)
 }
 
-// attemptHooks returns the hooks by which the sender reports an attempt.
+// attemptHooks returns the hooks by which the sender reports an attempt. ctx ends when the peer cancels the request.
 func (r *inboundRequest) attemptHooks(ctx context.Context, attempt *serverAttempt, deadline time.Time) engine.Hooks {
 	return engine.Hooks{
 		// The clock counts as well as ctx: after a process was suspended, this may run before the timer of ctx.
@@ -248,10 +250,15 @@
 	}
 }
 
-// streamResponse forwards a response while it arrives. It ends when the response is complete, or when the peer can't
-// read it any more.
+// streamResponse forwards a response while it arrives. It ends when the response is complete, or when nobody reads it any
+// more: the peer has cancelled the request, which ends ctx, or the connection has ended, which closes the send window.
+// The request's deadline does not end it: that applies until a response has begun.
 func (r *inboundRequest) streamResponse(ctx context.Context, stream *message.Stream) {
 	defer stream.Release()
+	r.streaming.Store(true)
+	if r.sendWindow.isClosed() { // connClosed may not have seen that the response is streamed
+		r.cancel(engine.ErrWithdrawn)
+	}
 	r.conn.sendResponse(&wire.ResponseT{
 		Id:            r.request.Id,
 		Status:        uint16(stream.Status),
@@ -259,15 +266,13 @@
 		MoreBody:      true,
 		ContentLength: stream.Length,
 	})
-	// The deadline only applies until a response has begun. After that it is forwarded for as long as the peer reads it.
-	unbounded := context.WithoutCancel(ctx)
 	for {
-		chunk, err := stream.Next(unbounded)
+		chunk, err := stream.Next(ctx)
 		if err != nil || chunk == nil {
 			r.finishStream(err != nil || !stream.IsComplete())
 			return
 		}
-		if !r.sendWindow.acquire(unbounded, len(chunk)) { // the connection's end closes the window
+		if !r.sendWindow.acquire(ctx, len(chunk)) {
 			r.truncated.Store(true)
 			r.cancel(engine.ErrWithdrawn)
 			return
--- a/internal/mesh/sidecar/upstream_attempt.go
+++ b/internal/mesh/sidecar/upstream_attempt.go
@@ -160,18 +160,18 @@
 }
 
 // wait waits until the attempt ends by its response or ctx ends. A keyed or non-idempotent request goes on at the peer
-// after ctx has ended, so that its response is stored for a repeat; any other, and one with a streamed body, is
-// cancelled there.
+// after ctx has ended, so that its response is stored for a repeat; any other is cancelled there, and so is one with a
+// streamed body or a streamed response, which is not stored.
 func (a *upstreamAttempt) wait(
 	ctx context.Context, request *message.Request, routed *routedRequest,
 ) (balancer.Ending, *message.Reply) {
 	select {
 	case <-a.done:
 	case <-ctx.Done():
-		if request.Idempotency != message.NotIdempotent || request.BodyRest != nil {
+		a.finish(engine.EndingOf(ctx), nil) // before isStreaming: a response that begins later is cancelled by beginStream
+		if request.Idempotency != message.NotIdempotent || request.BodyRest != nil || a.isStreaming() {
 			_ = a.conn.Send(&wire.CancelT{Id: a.id})
 		}
-		a.finish(engine.EndingOf(ctx), nil)
 	}
 	// The attempt has finished, after which nothing writes keyNotGranted, ending or reply, so they are read without mu.
 	if a.keyNotGranted {
@@ -185,6 +185,13 @@
 	return a.ending, a.reply
 }
 
+// isStreaming reports whether a streamed response has begun.
+func (a *upstreamAttempt) isStreaming() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.responseStream != nil
+}
+
 // uploadBody sends the chunks of a streamed request. It ends with the attempt.
 func (a *upstreamAttempt) uploadBody(ctx context.Context, request *message.Request) {
 	for {
