The end of a caller's connection is noticed while net/http does not read

Cause: net/http reads one byte while it serves a request; once it has one, of a pipelined request, it reads no more, and the front read on only once in its place and kept the end for net/http. Change: readAhead reads for as long as net/http does not, starts what comes, and ends the context of the connection's requests at its end; while the buffer is full, and while a long body waits for its server, the socket is asked for the peer's end (conncheck.HasEnded). Ruled out: hijacking (net/http's time-outs would be lost), reading without a bound (memory).

--- a/internal/conncheck/conncheck_test.go
+++ b/internal/conncheck/conncheck_test.go
@@ -51,3 +51,38 @@
 		t.Errorf("closed by itself: %v", err)
 	}
 }
+
+// The end of a connection is seen behind bytes that have not been read, and those stay.
+func TestHasEnded(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn) error{
+		"closed":      (*net.TCPConn).Close,
+		"half closed": (*net.TCPConn).CloseWrite,
+		"reset":       func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, server := connect(t)
+			if HasEnded(client) {
+				t.Error("ended while it is idle")
+			}
+			if _, err := server.Write([]byte("x")); err != nil {
+				t.Fatal(err)
+			}
+			testkit.Eventually(t, "the byte does not come", func() bool { return Peek(client) == nil })
+			if HasEnded(client) {
+				t.Error("ended while a byte can be read")
+			}
+			if err := end(server.(*net.TCPConn)); err != nil {
+				t.Fatal(err)
+			}
+			testkit.Eventually(t, "the end does not come", func() bool { return HasEnded(client) })
+			var b [1]byte
+			if _, err := io.ReadFull(client, b[:]); name != "reset" && (err != nil || b[0] != 'x') {
+				t.Errorf("the byte before the end: %q, %v", b, err)
+			}
+			client.Close()
+			if !HasEnded(client) {
+				t.Error("not ended after it was closed here")
+			}
+		})
+	}
+}
--- a/internal/front/http1/body.go
+++ b/internal/front/http1/body.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"cranegrade/internal/conncheck"
 	"cranegrade/internal/message"
 )
 
@@ -136,6 +138,8 @@
 	discard atomic.Bool   // bytes are discarded
 	ended   chan struct{} // closed by pump at its end
 	err     error         // why the body is incomplete; set before ended is closed
+	// conn is the connection that is read; nil over HTTP/2, where net/http reads and notices the caller's end.
+	conn net.Conn
 }
 
 func newUpload(hr *http.Request, in *pacedBody) *upload {
@@ -147,6 +151,9 @@
 	}
 	u.stream = message.NewStream(nil, func(int) { u.signal() })
 	u.stream.Length = hr.ContentLength
+	if from, is := hr.Context().Value(connectionKey{}).(*connection); is && hr.ProtoMajor == 1 {
+		u.conn = from.Conn
+	}
 	return u
 }
 
@@ -163,18 +170,10 @@
 	buf := buffers.Get().(*[chunkSize]byte)
 	defer buffers.Put(buf)
 	for {
-		for !u.discard.Load() && u.stream.Buffered() >= maxUnsentBody {
-			select {
-			case <-u.wake:
-			case <-u.stop:
-			}
-			select {
-			case <-u.stop:
-				u.err = errIncompleteBody
-				u.stream.Finish(nil)
-				return
-			default:
-			}
+		if !u.awaitRoom() {
+			u.err = errIncompleteBody
+			u.stream.Finish(nil)
+			return
 		}
 		n, err := u.body.Read(buf[:])
 		if n > 0 && !u.discard.Load() {
@@ -194,6 +193,28 @@
 	}
 }
 
+// awaitRoom waits until more of the body may be read. It returns false if the reading is to end, or the caller has gone: nobody else
+// reads the connection meanwhile.
+func (u *upload) awaitRoom() bool {
+	if u.discard.Load() || u.stream.Buffered() < maxUnsentBody {
+		return true
+	}
+	check := time.NewTicker(endCheckInterval)
+	defer check.Stop()
+	for !u.discard.Load() && u.stream.Buffered() >= maxUnsentBody {
+		select {
+		case <-u.wake:
+		case <-u.stop:
+			return false
+		case <-check.C:
+			if u.conn != nil && conncheck.HasEnded(u.conn) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // drain discards the rest for up to that time, after the answer was written, and returns when pump has ended. It returns
 // true if the body came to its end, so that the connection can be kept.
 func (u *upload) drain(within time.Duration) bool {
--- a/internal/front/http1/connection.go
+++ b/internal/front/http1/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -28,6 +29,9 @@
 	busy         atomic.Bool  // a request is being served
 	headTimer    *time.Timer  // runs while a header section is incomplete; owned by the goroutine that reads
 	idleTimer    *time.Timer  // runs while it is quiet; nil if it has never been quiet
+	// cancelRequests ends the context of the connection's requests, as net/http does when it notices the caller's end. It is set
+	// before the connection is served.
+	cancelRequests context.CancelFunc
 }
 
 // addQuiet adds the connection to the quiet ones. The caller holds the lock.
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -68,6 +68,7 @@
 		MaxHeaderBytes:               maxHeader,
 		DisableGeneralOptionsHandler: true,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			ctx, c.(*connection).cancelRequests = context.WithCancel(ctx)
 			return context.WithValue(ctx, connectionKey{}, c)
 		},
 		ConnState: func(c net.Conn, s http.ConnState) {
--- a/internal/front/http1/pipeline.go
+++ b/internal/front/http1/pipeline.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"cranegrade/internal/conncheck"
 	"cranegrade/internal/pool"
 )
 
@@ -22,6 +23,8 @@
 	maxPipelined      = 8        // requests of a connection that are started behind the one being answered
 	maxPipelinedBytes = 32 << 10 // bytes that are buffered to be parsed
 	pipelineReadBytes = 4 << 10  // the most that is read at once
+	// endCheckInterval is how often the end of a connection is looked for while it can't be read because a buffer is full.
+	endCheckInterval = 100 * time.Millisecond
 )
 
 // pipeline holds what was received on a connection and was not read by net/http yet, or not answered yet.
@@ -32,6 +35,8 @@
 	err      error     // of the last read; returned once
 	deadline time.Time // of reads; zero: none
 	filling  bool      // a goroutine is reading
+	paused   bool      // net/http does not read until the request that it serves is answered
+	watching bool      // readAhead runs
 	unparsed []byte    // bytes of requests that are not started, whether net/http has read them or not
 	stopped  bool      // no more requests are started early
 	started  []*earlyRequest
@@ -57,23 +62,19 @@
 	return pl
 }
 
-// read is called by net/http, which asks for a single byte while it serves a request, to notice the end of the connection.
+// read is called by net/http, which asks for a single byte while it serves a request, to notice the end of the connection. Once
+// it has got that byte, which is of a later request, it reads no more until the request is answered.
 func (pl *pipeline) read(c *connection, p []byte) (int, error) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
+	pl.paused = false
 	for {
 		if len(pl.buf) > 0 {
 			n := copy(p, pl.buf)
 			pl.buf = pl.buf[n:]
 			pl.updatePending()
-			if len(p) == 1 && !pl.filling && len(pl.buf) < maxPipelinedBytes {
-				// net/http reads no more, but there may be more requests.
-				pl.filling = true
-				go func() {
-					pl.mu.Lock()
-					defer pl.mu.Unlock()
-					pl.fill(c)
-				}()
+			if len(p) == 1 {
+				pl.startReadAhead(c)
 			}
 			return n, nil
 		}
@@ -91,6 +92,50 @@
 	}
 }
 
+// startReadAhead has the connection read by readAhead while net/http does not. The caller holds the lock.
+func (pl *pipeline) startReadAhead(c *connection) {
+	pl.paused = true
+	if !pl.watching {
+		pl.watching = true
+		go pl.readAhead(c)
+	}
+}
+
+// readAhead reads in place of net/http: there may be more requests, or the caller may leave. It returns when net/http reads
+// again, when the connection has ended, or at a deadline, which net/http is to meet.
+func (pl *pipeline) readAhead(c *connection) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	defer func() { pl.watching = false }()
+	for pl.paused {
+		switch {
+		case errors.Is(pl.err, os.ErrDeadlineExceeded):
+			return
+		case pl.err != nil:
+			c.cancelRequests()
+			return
+		case len(pl.buf) >= maxPipelinedBytes:
+			pl.checkEnd(c)
+		default:
+			pl.filling = true
+			pl.fill(c)
+		}
+	}
+}
+
+// checkEnd waits for a moment, and then notes if the connection has ended, of which a read would tell only after all that came
+// before. The caller holds the lock, which is released meanwhile.
+func (pl *pipeline) checkEnd(c *connection) {
+	pl.mu.Unlock()
+	time.Sleep(endCheckInterval)
+	ended := conncheck.HasEnded(c.Conn)
+	pl.mu.Lock()
+	if ended && pl.paused && pl.err == nil {
+		c.cancelRequests()
+		pl.paused = false
+	}
+}
+
 // fill reads once. The caller has set filling and holds the lock, which is released during the read.
 func (pl *pipeline) fill(c *connection) {
 	pl.mu.Unlock()
