--- a/internal/mesh/sidecar/call_chain_test.go
+++ b/internal/mesh/sidecar/call_chain_test.go
@@ -62,6 +62,7 @@
 	history        *callHistory
 	controlPlane   *fakeControlPlane
 	near           *Sidecar
+	terminateNear  func() // begins its shutdown
 	far            []*Sidecar
 	fakeServers    []*fakeServer
 	upstreamRelays []*relay // on the way from near to each far sidecar
@@ -100,7 +101,7 @@
 		runSidecar(t, far)
 	}
 	x.near = x.newSidecar("near", "caller")
-	runSidecar(t, x.near)
+	x.terminateNear = runSidecar(t, x.near)
 	await(t, func() bool {
 		n := 0
 		for _, r := range x.near.directory.table.Load().All() {
@@ -148,8 +149,8 @@
 	return l
 }
 
-// runSidecar runs a sidecar until the test ends.
-func runSidecar(t testing.TB, l *Sidecar) {
+// runSidecar runs a sidecar until the test ends, or until terminate has been called.
+func runSidecar(t testing.TB, l *Sidecar) (terminate func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -157,6 +158,7 @@
 		l.Run(ctx)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
+	return cancel
 }
 
 // callerConn is a connection of a caller, for any number of calls in turn.
