A sidecar that shuts down answers the calls that wait for a server

Cause: by the time that the grace period ends nobody answers a call that waits for a server; its connection ends with the process. Change: shortly before the end calls without an attempt in flight are failed: 503 with Retry-After where none was made. The load balancer's node does that already (abandonAll).

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -155,6 +155,17 @@
 	})
 }
 
+// AbandonWaiting fails every unanswered call that no server has at the moment: it waits for one, or for its next attempt.
+func (e *Engine) AbandonWaiting() {
+	e.Do(func() {
+		for _, call := range e.calls {
+			if !call.finished.Load() && call.attemptsInFlight == 0 {
+				e.abandon(call)
+			}
+		}
+	})
+}
+
 // accept takes a submitted call: it rejects it, or registers it and passes it to the module.
 func (e *Engine) accept(call *Call) {
 	if call.ID != "" && e.callerIDs[call.ID] {
--- a/internal/mesh/sidecar/client_gone_test.go
+++ b/internal/mesh/sidecar/client_gone_test.go
@@ -174,7 +174,6 @@
 }
 
 // A caller leaves on whose connection another call came while the first ran: both are cancelled.
-// It fails, and is listed in KNOWN-RED.txt.
 func TestClientGoneCancelsCallsPipelinedLater(t *testing.T) {
 	x := startCallChain(t, 1)
 	running, ended := make(chan *arrival, maxScriptedArrivals), make(chan bool, maxScriptedArrivals)
@@ -201,7 +200,6 @@
 const untilWindowsAreFull = time.Second
 
 // A caller that reads no more leaves while a streamed response waits for it: server and sidecar let go of the request.
-// It fails, and is listed in KNOWN-RED.txt.
 func TestClientGoneWhileStreamWaits(t *testing.T) {
 	for _, kind := range []kindOfCall{repeatableCall, onceCall} {
 		t.Run(string(kind), func(t *testing.T) {
--- a/internal/mesh/sidecar/outbound_listener.go
+++ b/internal/mesh/sidecar/outbound_listener.go
@@ -20,8 +20,8 @@
 	connectionDrainTime = 2300 * time.Millisecond
 	// idleDrainDelay is how long idle connections are left open at the beginning of connectionDrainTime.
 	idleDrainDelay = time.Second
-	// blockedRequestCutoff is how long before the end requests are given up that block the responses to later ones on
-	// their connection.
+	// blockedRequestCutoff is how long before the end requests are given up that wait for a server, or that block the
+	// responses to later ones on their connection.
 	blockedRequestCutoff = 300 * time.Millisecond
 	// drainInterval is how often open requests and connections are checked during the shutdown.
 	drainInterval = 100 * time.Millisecond
@@ -90,8 +90,10 @@
 	}
 }
 
-// finish waits until no connection is open or ctx ends, and closes the listener. It checks at each tick.
-func (o *outboundListener) finish(ctx context.Context, tick <-chan time.Time) {
+// finish waits until no connection is open or ctx ends, and closes the listener. It checks at each tick. Shortly before the
+// end it calls abandonWaiting at each tick, which is to answer requests that no server has: their connections end with the
+// process.
+func (o *outboundListener) finish(ctx context.Context, tick <-chan time.Time, abandonWaiting func()) {
 	f := o.front.Load()
 	if f == nil {
 		return
@@ -103,9 +105,12 @@
 	gaveUp := false
 	for f.OpenConnections() > 0 && ctx.Err() == nil {
 		f.CloseIdleIfDraining() //nolint:contextcheck // its context bounds the wait only
-		if !gaveUp && time.Until(deadline) < blockedRequestCutoff {
-			gaveUp = true
-			f.AbandonBlockedPipelines()
+		if time.Until(deadline) < blockedRequestCutoff {
+			abandonWaiting()
+			if !gaveUp {
+				gaveUp = true
+				f.AbandonBlockedPipelines()
+			}
 		}
 		<-tick
 	}
--- a/internal/mesh/sidecar/service_pools.go
+++ b/internal/mesh/sidecar/service_pools.go
@@ -166,6 +166,13 @@
 	}
 }
 
+// abandonWaiting answers the requests that no server has at the moment, because the sidecar is about to end.
+func (p *servicePools) abandonWaiting() {
+	for _, s := range *p.byName.Load() {
+		s.pool.Engine().AbandonWaiting()
+	}
+}
+
 // fleetPosition is this sidecar's position among the sidecars that send to a service.
 type fleetPosition struct {
 	sidecars       int     // known ones, at least 1
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -246,7 +246,7 @@
 
 // finishRequests waits until callers and other sidecars have their responses, or until ctx ends.
 func (s *Sidecar) finishRequests(ctx context.Context, tick <-chan time.Time) {
-	s.outbound.finish(ctx, tick)
+	s.outbound.finish(ctx, tick, s.pools.abandonWaiting)
 	for s.inbound.openRequests.Load() > 0 && ctx.Err() == nil {
 		<-tick
 	}
