--- a/internal/mesh/testcluster/fakeapp.go
+++ b/internal/mesh/testcluster/fakeapp.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -65,6 +66,13 @@
 	a.server.Close()
 }
 
+// Leave ends the server in order: it deregisters, and ends once it has answered what it runs.
+func (a *FakeApp) Leave() {
+	close(a.stop)
+	a.call("deregister", nil)
+	_ = a.server.Shutdown(context.Background()) // ends with the last request, of which each ends by itself
+}
+
 // SetServiceTime sets the run time of a request.
 func (a *FakeApp) SetServiceTime(d time.Duration) { a.serviceTime.Store(int64(d)) }
 
@@ -98,8 +106,13 @@
 		"SystemInfo": map[string]any{"Service": a.Service, "ConfigVersion": "v1", "Zone": a.zone, "SlotCount": appSlots},
 		"OperStatus": map[string]any{"State": a.state.Load(), "CallSeq": a.heartbeatSeq.Add(1), "WarmupLeftS": 0},
 	})
+	return a.call("heartbeat", body)
+}
+
+// call makes a call to the sidecar, and reports whether it was acknowledged.
+func (a *FakeApp) call(name string, body []byte) (acknowledged bool) {
 	client := http.Client{Timeout: heartbeatTimeout}
-	response, err := client.Post("http://"+a.controlAddr+"/v1/endpoints/"+a.Instance+"/heartbeat", "application/json", bytes.NewReader(body))
+	response, err := client.Post("http://"+a.controlAddr+"/v1/endpoints/"+a.Instance+"/"+name, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
--- /dev/null
+++ b/internal/mesh/testcluster/soak_callers_test.go
@@ -0,0 +1,329 @@
+package testcluster
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cranegrade/internal/mesh/config"
+)
+
+const (
+	soakBudget     = 3 * time.Second            // Time-Budget of callers
+	soakPatience   = soakBudget + 2*time.Second // after which a call counts as not answered
+	soakThinkTime  = 30 * time.Millisecond      // maximum pause between two calls of a caller
+	soakRedialTime = 20 * time.Millisecond      // pause after a dial that has failed
+	soakBodyBytes  = 300_000                    // of a streamed response
+	soakWorkTime   = 200 * time.Millisecond     // maximum run time of a server's request
+	callersPerKind = 1                          // at each sidecar
+)
+
+// soakCallKind is what a caller does with its connection.
+type soakCallKind int
+
+const (
+	soakRead     soakCallKind = iota // idempotent
+	soakMove                         // idempotent, on the route that moves
+	soakOnce                         // may run once
+	soakKeyed                        // repeated through another sidecar
+	soakStream                       // a long response
+	soakPipeline                     // several reads, in pieces
+	soakLeave                        // the caller closes the connection before the answer, or while it comes
+	soakCallKindCount
+)
+
+// soakCall is one call as its caller saw it.
+type soakCall struct {
+	attempt string
+	kind    soakCallKind
+	status  int           // 0: there was no complete answer
+	waited  time.Duration // from the call's last byte to the answer, or to the connection's end; 0 behind another call
+	left    bool          // the caller has left by itself
+	late    bool          // the connection stayed open, and no answer came in soakPatience
+}
+
+// soakLossSlack is LossSlackS: a connection that ends sooner after a call may not have been read.
+const soakLossSlack = 200 * time.Millisecond
+
+// soakAudit collects what callers saw, and checks it.
+type soakAudit struct {
+	planned bool // nothing but planned work is played
+
+	mu                        sync.Mutex // guards below
+	calls                     []soakCall
+	violations                []string
+	maxDescriptors, maxMemory int
+}
+
+func (a *soakAudit) add(call soakCall) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls = append(a.calls, call)
+}
+
+func (a *soakAudit) violation(format string, args ...any) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.violations = append(a.violations, fmt.Sprintf(format, args...))
+}
+
+func (a *soakAudit) noteResources(descriptors, residentKB int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.maxDescriptors = max(a.maxDescriptors, descriptors)
+	a.maxMemory = max(a.maxMemory, residentKB)
+}
+
+// check returns the violations of the rules: nothing that may run once has run twice, nothing that is answered as not run has run, and where all work was
+// planned no call that ran is without its answer.
+func (a *soakAudit) check(recorder *Recorder) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	found := a.violations
+	for _, call := range a.calls {
+		runs := recorder.Runs(call.attempt)
+		isRejected := call.status == http.StatusServiceUnavailable || call.status == http.StatusTooManyRequests
+		switch {
+		case call.kind == soakOnce && len(runs) > 1:
+			found = append(found, fmt.Sprintf("TWICE: %s ran at %v", call.attempt, runs))
+		case call.kind == soakOnce && isRejected && len(runs) > 0:
+			found = append(found, fmt.Sprintf("REFUSED: %s has run at %v and is answered %d", call.attempt, runs, call.status))
+		case a.planned && call.late:
+			found = append(found, fmt.Sprintf("LOST: %s has no answer after %v, ran at %v", call.attempt, soakPatience, runs))
+		case a.planned && call.status == 0 && !call.left && len(runs) > 0:
+			found = append(found, fmt.Sprintf("LOST: %s has no answer, ran at %v", call.attempt, runs))
+		case a.planned && call.status == 0 && !call.left && call.waited > soakLossSlack:
+			found = append(found, fmt.Sprintf("LOST: %s has no answer after %v, and has not run", call.attempt, call.waited))
+		case a.planned && isBrokenOff(call.status) && len(runs) > 0:
+			found = append(found, fmt.Sprintf("LOST: %s is answered %d, ran at %v", call.attempt, call.status, runs))
+		}
+	}
+	return found
+}
+
+// isBrokenOff reports whether a status stands in the place of a server's answer.
+func isBrokenOff(status int) bool {
+	return status == http.StatusInternalServerError || status == http.StatusBadGateway || status == http.StatusGatewayTimeout
+}
+
+// String returns the counts of calls by status.
+func (a *soakAudit) String() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	byStatus := map[int]int{}
+	left := 0
+	for _, call := range a.calls {
+		if call.left {
+			left++
+		} else {
+			byStatus[call.status]++
+		}
+	}
+	return fmt.Sprintf("%d calls, %d left by the caller, by status %v; at rest at most %d descriptors, %d KB",
+		len(a.calls), left, byStatus, a.maxDescriptors, a.maxMemory)
+}
+
+// soakCaller makes calls of one kind through one sidecar, on one connection for as long as that is open.
+type soakCaller struct {
+	soak   *soak
+	at     *soakMachine
+	kind   soakCallKind
+	name   string
+	random *rand.Rand
+	made   int
+	conn   net.Conn // nil: none is open
+	reader *bufio.Reader
+}
+
+// startCallers starts callers of each kind at each sidecar.
+func (s *soak) startCallers() {
+	for n, x := range s.sidecars {
+		for kind := range soakCallKindCount {
+			for copied := range callersPerKind {
+				caller := &soakCaller{
+					soak: s, at: x, kind: kind, name: fmt.Sprintf("s%d-%d-%d", n, kind, copied),
+					random: rand.New(rand.NewPCG(s.seed, uint64(n)<<16|uint64(kind)<<8|uint64(copied))),
+				}
+				s.callers.Go(caller.run)
+			}
+		}
+	}
+}
+
+func (c *soakCaller) run() {
+	for !c.soak.stopping.Load() {
+		soakPause(c.random, soakThinkTime)
+		if c.conn == nil && !c.dial() {
+			time.Sleep(soakRedialTime)
+			continue
+		}
+		c.at.app.Load().SetServiceTime(time.Duration(c.random.Int64N(int64(soakWorkTime))))
+		switch c.kind {
+		case soakPipeline:
+			c.pipeline()
+		case soakLeave:
+			c.leave()
+		case soakKeyed:
+			c.keyed()
+		default:
+			c.single("")
+		}
+	}
+	c.close()
+}
+
+func (c *soakCaller) dial() bool {
+	conn, err := net.Dial("tcp", c.at.Addr("Outbound"))
+	if err != nil {
+		return false
+	}
+	c.conn = conn
+	c.reader = bufio.NewReader(conn)
+	return true
+}
+
+func (c *soakCaller) close() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// nextAttempt returns an id of its own for the caller's next call.
+func (c *soakCaller) nextAttempt() string {
+	c.made++
+	return fmt.Sprintf("%s-%d", c.name, c.made)
+}
+
+// text returns a call as it is written.
+func (c *soakCaller) text(attempt, key string) string {
+	target := map[soakCallKind]string{
+		soakRead: "GET /read/", soakMove: "GET /move/", soakOnce: "POST /once/", soakKeyed: "POST /send/",
+		soakStream: fmt.Sprintf("GET /read/?bytes=%d", soakBodyBytes), soakPipeline: "GET /read/", soakLeave: "GET /read/",
+	}[c.kind]
+	head := fmt.Sprintf("%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Budget: %d\r\n", target, Host, attempt, soakBudget.Milliseconds())
+	if key != "" {
+		head += "Operation-Key: " + key + "\r\n"
+	}
+	if strings.HasPrefix(target, "POST") {
+		return head + "Content-Length: 4\r\n\r\nbody"
+	}
+	return head + "\r\n"
+}
+
+// single makes one call and reads its answer.
+func (c *soakCaller) single(key string) (status int) {
+	attempt := c.nextAttempt()
+	call := soakCall{attempt: attempt, kind: c.kind}
+	_ = c.conn.SetDeadline(time.Now().Add(soakPatience)) // an error shows in the next write or read
+	if _, err := io.WriteString(c.conn, c.text(attempt, key)); err != nil {
+		c.close()
+	} else {
+		written := time.Now()
+		call.status, call.late = c.readAnswer(attempt, key)
+		call.waited = time.Since(written)
+	}
+	c.soak.audit.add(call)
+	return call.status
+}
+
+// readAnswer reads one answer. It closes the connection if the answer does, or if there is none.
+func (c *soakCaller) readAnswer(attempt, key string) (status int, late bool) {
+	response, err := http.ReadResponse(c.reader, nil)
+	var text []byte
+	if err == nil {
+		text, err = io.ReadAll(response.Body)
+	}
+	if err != nil {
+		c.close()
+		return 0, errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	sent := Response{Attempt: attempt, Status: response.StatusCode, Seal: response.Header.Get("Server-Seal"), Body: string(text)}
+	c.soak.Recorder.checkResponse(sent, key, response.Header.Get("Attempt-Id"))
+	if c.kind == soakStream && response.StatusCode == http.StatusOK && len(text) < soakBodyBytes {
+		c.soak.audit.violation("MIXED: %s has %d bytes", attempt, len(text))
+	}
+	if response.Close {
+		c.close()
+	}
+	return response.StatusCode, false
+}
+
+// keyed makes a call with a key of its own, and repeats it through any sidecar, also after it was answered.
+func (c *soakCaller) keyed() {
+	key := fmt.Sprintf("k-%s-%d", c.name, c.made)
+	first := c.single(key)
+	soakPause(c.random, soakThinkTime)
+	other := c.soak.sidecars[c.random.IntN(len(c.soak.sidecars))]
+	repeated := other.Send(http.MethodPost, "/send/", key, []byte("body"))
+	if c.soak.audit.planned && first == http.StatusOK && repeated.Status/100 == 4 && repeated.Status != http.StatusConflict {
+		c.soak.audit.violation("DENIED: the repeat of %s is answered %d", key, repeated.Status)
+	}
+}
+
+// pipeline writes several reads in pieces, and then reads their answers.
+func (c *soakCaller) pipeline() {
+	calls := make([]soakCall, 2+c.random.IntN(4))
+	written := 0
+	_ = c.conn.SetDeadline(time.Now().Add(soakPatience))
+	for n := range calls {
+		calls[n] = soakCall{attempt: c.nextAttempt(), kind: c.kind}
+		if _, err := io.WriteString(c.conn, c.text(calls[n].attempt, "")); err != nil {
+			break
+		}
+		written++
+		soakPause(c.random, soakThinkTime/3)
+	}
+	for n := range calls[:written] {
+		if c.conn == nil {
+			break // an answer has closed the connection: what came behind it counts as not read
+		}
+		calls[n].status, calls[n].late = c.readAnswer(calls[n].attempt, "")
+	}
+	for _, call := range calls[:written] {
+		c.soak.audit.add(call)
+	}
+}
+
+// leave closes the connection while a call runs.
+func (c *soakCaller) leave() {
+	call := soakCall{attempt: c.nextAttempt(), kind: c.kind, left: true}
+	_, err := io.WriteString(c.conn, c.text(call.attempt, ""))
+	if err == nil {
+		soakPause(c.random, soakWorkTime)
+	}
+	c.close()
+	c.soak.audit.add(call)
+}
+
+// routeVersion returns the version of a route in a configuration, or 0 if it has none.
+func routeVersion(t *testing.T, document, route string) int64 {
+	t.Helper()
+	var read config.Document
+	assert.NilError(t, json.Unmarshal([]byte(document), &read))
+	for _, listener := range read.ListenerList {
+		for _, raw := range listener.PolicyRules {
+			var rule struct {
+				Name          string
+				ConfigVersion int64
+			}
+			assert.NilError(t, json.Unmarshal(raw, &rule))
+			if rule.Name == route {
+				return rule.ConfigVersion
+			}
+		}
+	}
+	return 0
+}
--- a/internal/testfleet/process.go
+++ b/internal/testfleet/process.go
@@ -130,7 +130,8 @@
 	}
 }
 
-func (p *Process) markStopping() {
+// MarkStopping notes that the process is told to end, so that its end is no crash.
+func (p *Process) MarkStopping() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stopping = true
@@ -138,7 +139,7 @@
 
 // Stop ends the process by SIGTERM and waits for its end; after a time-out it kills it. A paused process is resumed.
 func (p *Process) Stop() {
-	p.markStopping()
+	p.MarkStopping()
 	p.signal(syscall.SIGTERM)
 	p.signal(syscall.SIGCONT)
 	select {
@@ -150,7 +151,7 @@
 
 // Kill ends the process by SIGKILL and waits for its end.
 func (p *Process) Kill() {
-	p.markStopping()
+	p.MarkStopping()
 	p.signal(syscall.SIGKILL)
 	<-p.Exited
 }
