--- a/internal/mesh/testcluster/fakeapp.go
+++ b/internal/mesh/testcluster/fakeapp.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -66,13 +65,6 @@
 	a.server.Close()
 }
 
-// Leave ends the server in order: it deregisters, and ends once it has answered what it runs.
-func (a *FakeApp) Leave() {
-	close(a.stop)
-	a.call("deregister", nil)
-	_ = a.server.Shutdown(context.Background()) // ends with the last request, of which each ends by itself
-}
-
 // SetServiceTime sets the run time of a request.
 func (a *FakeApp) SetServiceTime(d time.Duration) { a.serviceTime.Store(int64(d)) }
 
--- a/internal/mesh/testcluster/soak_plan_test.go
+++ b/internal/mesh/testcluster/soak_plan_test.go
@@ -84,11 +84,12 @@
 	pauseMember
 	killAllMembers
 	crashServer
-	soakActionCount
 
 	firstUnplanned = killSidecar
 )
 
+const soakActionCount = int(crashServer) + 1
+
 var soakActionNames = [...]string{
 	"terminate sidecar", "reload sidecar", "change route", "drain server", "terminate member", "reload member",
 	"kill sidecar", "pause sidecar", "kill member", "pause member", "kill all members", "crash server",
@@ -121,7 +122,7 @@
 // planSoak returns the events of a seed in order. Events come in series, in which the same machine is often struck more than once.
 func planSoak(seed uint64, duration time.Duration) (events []soakEvent) {
 	random := rand.New(rand.NewPCG(seed, seed))
-	actions := int(soakActionCount)
+	actions := soakActionCount
 	if isPlannedSoak(seed) {
 		actions = int(firstUnplanned)
 	}
@@ -153,5 +154,5 @@
 			assert.Assert(t, event.action < firstUnplanned || !isPlannedSoak(seed), "seed %d: %v", seed, event)
 		}
 	}
-	assert.Equal(t, len(seen), int(soakActionCount))
+	assert.Equal(t, len(seen), soakActionCount)
 }
--- a/internal/mesh/testcluster/soak_test.go
+++ b/internal/mesh/testcluster/soak_test.go
@@ -1,6 +1,7 @@
 package testcluster
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -214,10 +215,17 @@
 	s.replaceServer(x, func(app *FakeApp) {
 		app.Drain()
 		time.Sleep(2300 * time.Millisecond) // DrainS and a little more
-		app.Leave()
+		app.leave()
 	})
 }
 
+// leave ends the server in order: it deregisters, and ends once it has answered what it runs.
+func (a *FakeApp) leave() {
+	close(a.stop)
+	a.call("deregister", nil)
+	_ = a.server.Shutdown(context.Background()) // ends with the last request, of which each ends by itself
+}
+
 // replaceServer ends a server and starts its next instance, unless another event does so already.
 func (s *soak) replaceServer(x *soakMachine, end func(*FakeApp)) {
 	if !x.replacing.TryLock() {
