A node notices a caller's end behind a pipelined request

Symptom: TestEndIsNoticedBehindPipelinedByte, red before: not noticed in 20 s. Cause: as for sidecars, net/http reads no more once it has a byte of the next request; a node reads nothing ahead. Change: until net/http reads again the socket is asked each 100 ms.

--- a/internal/front/http1/connection.go
+++ b/internal/front/http1/connection.go
@@ -29,6 +29,7 @@
 	busy         atomic.Bool  // a request is being served
 	headTimer    *time.Timer  // runs while a header section is incomplete; owned by the goroutine that reads
 	idleTimer    *time.Timer  // runs while it is quiet; nil if it has never been quiet
+	reads        atomic.Int64 // how often net/http has read; counted without a pipeline
 	// cancelRequests ends the context of the connection's requests, as net/http does when it notices the caller's end. It is set
 	// before the connection is served.
 	cancelRequests context.CancelFunc
@@ -103,8 +104,8 @@
 func (c *connection) Read(p []byte) (n int, err error) {
 	if c.pipeline != nil {
 		n, err = c.pipeline.read(c, p)
-	} else if n, err = c.Conn.Read(p); n > 0 {
-		c.recordBytes(time.Now())
+	} else {
+		n, err = c.readOnce(p)
 	}
 	if n > 0 && c.owner.scanHeads {
 		c.head.take(p[:n])
@@ -113,6 +114,32 @@
 	return n, err
 }
 
+// readOnce reads for net/http, which asks for a single byte while it serves a request, to notice the end of the connection. Once it
+// has got that byte, of a later request, it reads no more until the request is answered.
+func (c *connection) readOnce(p []byte) (n int, err error) {
+	read := c.reads.Add(1)
+	if n, err = c.Conn.Read(p); n > 0 {
+		c.recordBytes(time.Now())
+	}
+	if n == 1 && len(p) == 1 {
+		c.scheduleEndCheck(read)
+	}
+	return n, err
+}
+
+// scheduleEndCheck has the end of the connection looked for until net/http reads again, since it does not notice it meanwhile.
+func (c *connection) scheduleEndCheck(read int64) {
+	time.AfterFunc(endCheckInterval, func() {
+		switch {
+		case c.reads.Load() != read:
+		case conncheck.HasEnded(c.Conn):
+			c.cancelRequests()
+		default:
+			c.scheduleEndCheck(read)
+		}
+	})
+}
+
 // watchHead applies the time-out of a header section that is not complete yet.
 func (c *connection) watchHead() {
 	switch d := time.Duration(c.owner.headTimeout.Load()); {
--- a/internal/front/http1/connection_test.go
+++ b/internal/front/http1/connection_test.go
@@ -27,7 +27,7 @@
 }
 
 // Where pipelined requests are not started early, net/http has got a byte of the next request and reads no more. A caller that leaves then was noticed
-// only after the answer: its request's context still stood 5 s later. It ends soon, and only once the caller has left.
+// only after the answer: its request's context still stood 20 s later. It ends soon, and only once the caller has left.
 func TestEndIsNoticedBehindPipelinedByte(t *testing.T) {
 	caller, accepted := acceptPair(t)
 	ctx, cancel := context.WithCancel(t.Context())
