--- a/internal/front/http1/pipeline.go
+++ b/internal/front/http1/pipeline.go
@@ -23,7 +23,7 @@
 	maxPipelined      = 8        // requests of a connection that are started behind the one being answered
 	maxPipelinedBytes = 32 << 10 // bytes that are buffered to be parsed
 	pipelineReadBytes = 4 << 10  // the most that is read at once
-	// endCheckInterval is how often the end of a connection is looked for while it can't be read because a buffer is full.
+	// endCheckInterval is how often the end of a connection is looked for while nobody reads it.
 	endCheckInterval = 100 * time.Millisecond
 )
 
--- a/internal/mesh/sidecar/client_gone_waiting_test.go
+++ b/internal/mesh/sidecar/client_gone_waiting_test.go
@@ -46,7 +46,7 @@
 
 // Calls that come one after the other behind a running one are started as they come, and all are cancelled when the caller leaves.
 func TestClientGoneCancelsCallsInManyPieces(t *testing.T) {
-	const calls = 3 // the module admits no more at a server that has answered none
+	const calls = 3 // of five a later one did not run within 5 s; why is not traced yet
 	x, running, ended := startHangingCalls(t)
 	caller := x.dial()
 	for range calls {
