--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for case in 1 2; do
+for case in 1 2 3; do
 	go build -o "target/review/case$case" "./review/$case"
 done
--- a/review/stage/mesh.go
+++ b/review/stage/mesh.go
@@ -299,3 +299,6 @@
 		_ = os.RemoveAll(m.dir) // the next start uses another folder
 	}
 }
+
+// Record returns the record of the machine's mesh.
+func (x *Machine) Record() *Record { return x.mesh.Record }
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -27,11 +28,13 @@
 	callAddr  string // of its sidecar
 	seals     atomic.Int64
 	callSeq   atomic.Int64
-	draining  atomic.Bool
-	stop      chan struct{}
+	leaving   atomic.Bool
+	stopBeats chan struct{}
 	zone      string
-	slots     int
 	slotInUse atomic.Int64
+
+	mu    sync.Mutex // guards conns
+	conns map[net.Conn]bool
 }
 
 // Exchange is one request on a connection of a server.
@@ -46,18 +49,18 @@
 const (
 	serverSlots = 12
 	queuedCalls = 48
-	warmupS     = 0
 )
 
 // NewServer returns the server of a sidecar's machine.
 func NewServer(x *Machine, instance string) *Server {
 	return &Server{
 		Service: x.Service, Instance: instance, Work: 20 * time.Millisecond,
-		record: x.mesh.Record, callAddr: x.ControlPlane(), stop: make(chan struct{}), zone: x.settings["Zone"].(string), slots: serverSlots,
+		record: x.mesh.Record, callAddr: x.ControlPlane(), stopBeats: make(chan struct{}), zone: x.settings["Zone"].(string),
+		conns: map[net.Conn]bool{},
 	}
 }
 
-// Start listens at addr and sends heartbeats until Stop.
+// Start listens at addr and sends heartbeats until Leave.
 func (s *Server) Start(addr string) error {
 	listener, err := net.Listen("tcp4", addr)
 	if err != nil {
@@ -66,49 +69,62 @@
 	s.listener = listener
 	s.record.Note(s.Instance, "starts at %s", addr)
 	go s.accept()
-	go s.beat(addr)
+	go s.beatRegularly(addr)
 	return nil
 }
 
-// Stop ends the server. Connections in use continue.
-func (s *Server) Stop() {
-	close(s.stop)
+// Leave sends the deregister call before any other notice, and returns whether it was acknowledged. From then on the server sends no
+// heartbeats and fails health checks, but serves on until End.
+func (s *Server) Leave() (acknowledged bool) {
+	s.leaving.Store(true)
+	close(s.stopBeats)
+	acknowledged = s.call("deregister", nil)
+	s.record.Note(s.Instance, "deregisters; acknowledged %v", acknowledged)
+	return acknowledged
+}
+
+// End ends the server's process: its listener and all its connections.
+func (s *Server) End() {
 	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		conn.Close()
+	}
 	s.record.Note(s.Instance, "ends")
 }
 
-// beat sends heartbeats until Stop.
-func (s *Server) beat(addr string) {
+func (s *Server) beatRegularly(addr string) {
 	for {
-		s.Beat(addr, s.callSeq.Add(1), 0)
+		s.Beat(addr, 0)
 		select {
 		case <-time.After(HeartbeatInterval):
-		case <-s.stop:
+		case <-s.stopBeats:
 			return
 		}
 	}
 }
 
-// Beat makes one heartbeat call, late by a delay, and returns whether it was acknowledged.
-func (s *Server) Beat(addr string, callSeq int64, delay time.Duration) bool {
-	state := "ready"
-	if s.draining.Load() {
-		state = "draining"
-	}
+// Beat sends a heartbeat that comes late by a delay.
+func (s *Server) Beat(addr string, delay time.Duration) {
+	callSeq := s.callSeq.Add(1)
 	body, _ := json.Marshal(map[string]any{ // can't fail
 		"Address":    addr,
-		"SystemInfo": map[string]any{"Service": s.Service, "ConfigVersion": "v1", "Zone": s.zone, "SlotCount": s.slots},
-		"OperStatus": map[string]any{"State": state, "CallSeq": callSeq, "WarmupLeftS": warmupS},
+		"SystemInfo": map[string]any{"Service": s.Service, "ConfigVersion": "v1", "Zone": s.zone, "SlotCount": serverSlots},
+		"OperStatus": map[string]any{"State": "ready", "CallSeq": callSeq, "WarmupLeftS": 0},
 	})
-	time.Sleep(delay)
-	return s.Call("heartbeat", body)
+	if delay > 0 {
+		s.record.Note(s.Instance, "sends heartbeat %d, which comes %v late", callSeq, delay)
+		time.Sleep(delay)
+	}
+	acknowledged := s.call("heartbeat", body)
+	if delay > 0 || !acknowledged {
+		s.record.Note(s.Instance, "heartbeat %d acknowledged: %v", callSeq, acknowledged)
+	}
 }
 
-// NextCallSeq returns the number of the server's next call.
-func (s *Server) NextCallSeq() int64 { return s.callSeq.Add(1) }
-
-// Call makes a call to the sidecar.
-func (s *Server) Call(name string, body []byte) bool {
+// call makes a call to the sidecar.
+func (s *Server) call(name string, body []byte) (acknowledged bool) {
 	client := http.Client{Timeout: callTimeout}
 	response, err := client.Post("http://"+s.callAddr+"/v1/endpoints/"+s.Instance+"/"+name, "application/json", bytes.NewReader(body))
 	if err != nil {
@@ -118,9 +134,6 @@
 	return response.StatusCode/100 == 2
 }
 
-// StopBeats ends the heartbeats.
-func (s *Server) StopBeats() { close(s.stop) }
-
 func (s *Server) accept() {
 	for {
 		conn, err := s.listener.Accept()
@@ -133,7 +146,15 @@
 
 // serve answers the requests of a connection, one at a time.
 func (s *Server) serve(conn net.Conn) {
-	defer conn.Close()
+	s.mu.Lock()
+	s.conns[conn] = true
+	s.mu.Unlock()
+	defer func() {
+		conn.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, conn)
+	}()
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -154,7 +175,7 @@
 	}
 	if request.URL.Path == "/health" {
 		status := http.StatusOK
-		if s.draining.Load() {
+		if s.leaving.Load() {
 			status = http.StatusServiceUnavailable
 		}
 		return x.Write(status, "Instance-Id: "+s.Instance+"\r\n", nil) == nil
