--- a/review/2/main.go
+++ b/review/2/main.go
@@ -20,7 +20,8 @@
 	earlyBytes    = 128 << 10 // of the body are read before the answer
 	answerBytes   = 5000
 	keys          = 150
-	brokenOneIn   = 50 // of the answers of the servers in trouble: the dose x = 0.02
+	brokenOneIn   = 50              // of the answers of the servers in trouble: the dose x = 0.02
+	troubleFor    = 5 * time.Second // for_s is 5.0 to 6.1 at this site
 	callers       = 3
 	budget        = 2500 * time.Millisecond
 	triesOfClient = 3
@@ -31,10 +32,13 @@
 
 // run plays the case and returns what broke the rule.
 func run(trouble bool, mesh *stage.Mesh) (broken []string, err error) {
-	var answers atomic.Int64
+	var answers, troubleEnds atomic.Int64
 	for n, x := range mesh.Sidecars {
 		server := stage.NewServer(x, fmt.Sprintf("i-%d", n+1))
-		server.Run = func(exchange *stage.Exchange) bool { return answerEarly(exchange, trouble && n%2 == 0, &answers) }
+		server.Run = func(exchange *stage.Exchange) bool {
+			inTrouble := trouble && n%2 == 0 && int64(mesh.Record.Now()) < troubleEnds.Load()
+			return answerEarly(exchange, inTrouble, &answers)
+		}
 		if err := server.Start(x.App()); err != nil {
 			return nil, err
 		}
@@ -55,6 +59,7 @@
 		return nil, err
 	}
 	time.Sleep(2 * stage.HeartbeatInterval)
+	troubleEnds.Store(int64(mesh.Record.Now() + troubleFor))
 	var work sync.WaitGroup
 	for c := range callers {
 		work.Go(func() {
--- a/review/stage/mesh.go
+++ b/review/stage/mesh.go
@@ -121,17 +121,30 @@
 	return errors.New("no free ports")
 }
 
+// arePortsFree reports whether all ports are free on the addresses of all machines.
 func (m *Mesh) arePortsFree() bool {
-	for n := range portCount {
-		listener, err := net.Listen("tcp4", fmt.Sprintf("0.0.0.0:%d", m.firstPort+n))
-		if err != nil {
-			return false
+	var ips []string
+	for n := range coreMachines {
+		ips = append(ips, m.ip(firstCore+n))
+	}
+	for n := range m.services {
+		ips = append(ips, m.ip(firstSidecar+n))
+	}
+	for _, ip := range ips {
+		for port := range portCount {
+			listener, err := net.Listen("tcp4", m.address(ip, port))
+			if err != nil {
+				return false
+			}
+			listener.Close()
 		}
-		listener.Close()
 	}
 	return true
 }
 
+// ip returns an address of the mesh's subnet.
+func (m *Mesh) ip(last int) string { return fmt.Sprintf("%s.%d", m.subnet, last) }
+
 func (m *Mesh) address(ip string, port int) string {
 	return fmt.Sprintf("%s:%d", ip, m.firstPort+port)
 }
@@ -144,7 +157,7 @@
 	}
 	x := &Machine{
 		Name:    fmt.Sprintf("%s-%d", class, n+1),
-		IP:      fmt.Sprintf("%s.%d", m.subnet, first+n),
+		IP:      m.ip(first + n),
 		Service: service,
 		mesh:    m,
 		program: program,
@@ -152,7 +165,7 @@
 	zone := fmt.Sprintf("hall-%c", 'a'+rune(n%3))
 	var seeds []string
 	for s := range coreMachines {
-		seeds = append(seeds, m.address(fmt.Sprintf("%s.%d", m.subnet, firstCore+s), portControlPlane))
+		seeds = append(seeds, m.address(m.ip(firstCore+s), portControlPlane))
 	}
 	addresses := map[string]any{"ControlPlane": x.Address(portControlPlane)}
 	x.settings = map[string]any{
