A valid split that names one service in two parts ends no sidecar

Callers saw: after a change that was acknowledged, nothing is served. All sidecars end by themselves with "pool can't be made", and again at each start.

Cause: the routing table listed a route once for each part of its TrafficSplit, so twice for a service in two parts. The service's pool got two request classes of one name, which balancer.Settings.Validate refuses, and openService panicked with that error.

Change: RouteSpec.Destinations returns each service once with the sum of its weights, so that routing, pools, policies and maintenance plans all see it so. openService returns its error; it is logged, requests for that service are rejected, and the sidecar runs on. The same cause elsewhere: time-outs below a nanosecond, of a route (panic on Classes[0].Aim) or of a policy (a class with an aim of 0), became 0, and times that are too long negative. One conversion now (package duration).

Ruled out: rejecting such a split.

--- a/internal/mesh/config/spec.go
+++ b/internal/mesh/config/spec.go
@@ -1,6 +1,11 @@
 package config
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"cranegrade/internal/mesh/duration"
+)
 
 // The types of this file represent the JSON format of the configuration, which determines their field names and json tags. validate
 // tags refer to other fields by their Go names.
@@ -8,8 +13,8 @@
 // Seconds is a duration in the JSON format.
 type Seconds float64
 
-// Duration converts the seconds into a time.Duration.
-func (s Seconds) Duration() time.Duration { return time.Duration(float64(s) * float64(time.Second)) }
+// Duration converts the seconds into a time.Duration; see duration.FromSeconds for the limits.
+func (s Seconds) Duration() time.Duration { return duration.FromSeconds(float64(s)) }
 
 // RouteSpec is the content of a route.
 type RouteSpec struct {
@@ -41,12 +46,22 @@
 	Weight  float64 `json:"Weight" validate:"gte=0"`
 }
 
-// Destinations returns the services that requests of the route are sent to, with their weights.
+// Destinations returns the services that requests of the route are sent to, each of them once, with their weights. A
+// TrafficSplit may name a service in several parts, whose weights are added up.
 func (r *RouteSpec) Destinations() []WeightedService {
-	if len(r.ForwardAction.TrafficSplit) > 0 {
-		return r.ForwardAction.TrafficSplit
+	if len(r.ForwardAction.TrafficSplit) == 0 {
+		return []WeightedService{{r.ForwardAction.Service, 1}}
+	}
+	destinations := make([]WeightedService, 0, len(r.ForwardAction.TrafficSplit))
+	for _, part := range r.ForwardAction.TrafficSplit {
+		i := slices.IndexFunc(destinations, func(d WeightedService) bool { return d.Service == part.Service })
+		if i < 0 {
+			destinations = append(destinations, part)
+			continue
+		}
+		destinations[i].Weight += part.Weight
 	}
-	return []WeightedService{{r.ForwardAction.Service, 1}}
+	return destinations
 }
 
 // IsAtMostOnce reports whether each attempt of a request may run at most once.
--- a/internal/mesh/controlplane/initial_orders.go
+++ b/internal/mesh/controlplane/initial_orders.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"cranegrade/internal/mesh/config"
+	"cranegrade/internal/mesh/duration"
 	"cranegrade/internal/mesh/maintenance"
 	"cranegrade/internal/mesh/replica"
 )
@@ -33,7 +34,7 @@
 
 // delay returns the time from configuredAt after which the order is placed.
 func (o initialOrder) delay() time.Duration {
-	return time.Duration(o.DelaySeconds * float64(time.Second))
+	return duration.FromSeconds(o.DelaySeconds)
 }
 
 // readInitialOrders reads and checks a file. It returns nil if file is "".
--- a/internal/mesh/controlplane/maintenance_api.go
+++ b/internal/mesh/controlplane/maintenance_api.go
@@ -4,11 +4,11 @@
 	"net/http"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/juju/errors"
 
 	"cranegrade/internal/mesh/api"
+	"cranegrade/internal/mesh/duration"
 	"cranegrade/internal/mesh/maintenance"
 	"cranegrade/internal/mesh/replica"
 )
@@ -82,7 +82,7 @@
 	}
 	response.Now, response.TimeAgreed = c.agreedTime()
 	if request.Machine != "" {
-		length := time.Duration(request.LengthSeconds * float64(time.Second))
+		length := duration.FromSeconds(request.LengthSeconds)
 		verdict := c.meshView("").Plan(request.Machine, length, response.Now)
 		if !response.TimeAgreed {
 			verdict.Approved = false
--- a/internal/mesh/policy/decision.go
+++ b/internal/mesh/policy/decision.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"cranegrade/internal/mesh/duration"
 )
 
 // Decision is the outcome of a merged policy for the requests of a caller on a route. It is immutable.
@@ -34,7 +36,7 @@
 		d.MaxAttempts = 1
 	}
 	if e, exists := l.Effective(FieldTimeout); exists {
-		d.Timeout = time.Duration(e.Number * float64(time.Second))
+		d.Timeout = duration.FromSeconds(e.Number)
 	}
 	if e, exists := l.Effective(FieldPriority); exists {
 		d.Priority = int(e.Number)
--- a/internal/mesh/routing/table_test.go
+++ b/internal/mesh/routing/table_test.go
@@ -74,3 +74,23 @@
 	}
 	assert.Equal(t, kindOf("unknown route type"), AtMostOnce)
 }
+
+// Guards against a route that counts twice for a service. A split that named a service in two parts gave the service two request classes of one name.
+func TestSplitThatNamesServiceTwice(t *testing.T) {
+	items, err := config.ParseItems([]byte(`{"Upsert":{"ListenerList":[{"HostName":"h.example","PolicyRules":[
+		{"Name":"r","RouteType":"keyed","ConfigVersion":1,"MatchCriteria":{"PathPrefix":"/"},"ForwardAction":{"TimeoutS":2,"RetryCount":1,
+			"TrafficSplit":[{"Service":"s","Weight":50},{"Service":"t","Weight":40},{"Service":"s","Weight":10}]}}]}],
+		"UpstreamGroups":[{"Name":"s","ConfigVersion":1},{"Name":"t","ConfigVersion":1}]}}`))
+	assert.NilError(t, err)
+	applied, _, err := config.Table{}.ApplyItems(items)
+	assert.NilError(t, err)
+	table := NewTable(applied)
+	route := table.Route("r")
+	assert.DeepEqual(t, route.Destinations, []config.WeightedService{{Service: "s", Weight: 60}, {Service: "t", Weight: 40}})
+	for draw, want := range map[float64]string{0: "s", 0.59: "s", 0.61: "t", 0.9999: "t"} {
+		assert.Equal(t, route.PickService(draw), want)
+	}
+	for _, service := range []string{"s", "t"} {
+		assert.Equal(t, len(table.RoutesByService()[service]), 1, service)
+	}
+}
--- a/internal/mesh/settings/settings.go
+++ b/internal/mesh/settings/settings.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 	"sigs.k8s.io/yaml"
 
+	"cranegrade/internal/mesh/duration"
 	"cranegrade/internal/mesh/validation"
 )
 
@@ -25,8 +26,8 @@
 // Seconds is a duration as the settings file writes it: a number of seconds.
 type Seconds float64
 
-// Duration converts s to a time.Duration.
-func (s Seconds) Duration() time.Duration { return time.Duration(float64(s) * float64(time.Second)) }
+// Duration converts s to a time.Duration; see duration.FromSeconds for the limits.
+func (s Seconds) Duration() time.Duration { return duration.FromSeconds(float64(s)) }
 
 // Settings are the settings of one process.
 type Settings struct {
--- a/internal/mesh/sidecar/service_pools.go
+++ b/internal/mesh/sidecar/service_pools.go
@@ -86,15 +86,22 @@
 		sort.Slice(routes, func(i, j int) bool { return routes[i].Name < routes[j].Name })
 		if s := next[name]; s != nil {
 			s.updateClasses(routes)
-		} else {
-			next[name] = p.openService(name, routes)
+			continue
 		}
+		opened, err := p.openService(name, routes)
+		if err != nil {
+			// The items were validated, so this is a bug. Requests for the service are rejected; the others are served.
+			p.env.log.Error().Err(err).Str("service", name).Msg("pool can't be made")
+			continue
+		}
+		next[name] = opened
 	}
 	p.byName.Store(&next)
 }
 
-// openService opens the pool of a service and starts its engine. The caller holds mu.
-func (p *servicePools) openService(name string, routes []*routing.Route) *service {
+// openService opens the pool of a service and starts its engine. The error is that of the pool's settings. The caller
+// holds mu.
+func (p *servicePools) openService(name string, routes []*routing.Route) (*service, error) {
 	s := &service{
 		name:        name,
 		classes:     map[string]balancer.Class{},
@@ -123,12 +130,11 @@
 		Pushed:   true,
 		Shares:   p.budgets.poolShares(),
 	})
-	if err != nil { // the items were validated, so this is a bug
-		p.env.log.Error().Err(err).Str("service", name).Msg("pool can't be made")
-		panic(err)
+	if err != nil {
+		return nil, err
 	}
 	s.pool.Run()
-	return s
+	return s, nil
 }
 
 // moduleSettings returns the settings of a new decision module, without classes.
