A long request that ends early may have run: its key runs once

Callers saw: a keyed request of over 64 KiB, whose server answers before it has read the whole body and breaks that answer off, gets 503 with Retry-After. Sent again with its key, as that promises, it runs a second time.

Cause: Sender.exchange took each request that was not written to its end for one that can't have run, also when the server had begun to respond.

Change: what proves that a request never ran depends on the protocol. An answer that has begun is enough with either. The same for the caller that leaves, sends more than it declared, or runs out of time in the middle of the body.

Ruled out: waiting for the whole body before it is sent on. It would hold 64 MiB for a request.

What it costs: a key whose long request ended in the middle gets 502 for the rest of its window.

--- a/internal/mesh/sidecar/early_answer_test.go
+++ b/internal/mesh/sidecar/early_answer_test.go
@@ -89,3 +89,73 @@
 		}
 	}
 }
+
+// Guards against a keyed request that runs twice, and is answered 503 although it has run, because its server begins work before it has read the whole
+// of a long body. It happened when the request ended before its last byte: the server broke off its early response or the connection, or the caller left.
+// The request then counted as one that can't have run, and the lease of its key was released.
+func TestLongKeyedRequestThatEndsEarlyRunsOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		end          func(a *arrival) // what the server does after it has begun
+		callerLeaves bool             // once the server has begun
+	}{
+		"the server breaks off its response": {end: func(a *arrival) {
+			fmt.Fprintf(a.conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\nContent-Length: 5000\r\n\r\na part of it",
+				a.attemptID(), sealOf(a.attemptID()))
+		}},
+		"the server closes the connection": {end: func(*arrival) {}},
+		"the server resets the connection": {end: func(a *arrival) { _ = a.conn.(*net.TCPConn).SetLinger(0) }},
+		"the caller leaves":                {end: func(a *arrival) { a.awaitEnd() }, callerLeaves: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			x := startCallChain(t, 2)
+			begun := make(chan string, maxScriptedArrivals)
+			for n := range x.far {
+				x.attachServer(n, func(a *arrival) bool {
+					if a.request.ContentLength < uploadBytes {
+						a.readBody()
+						x.history.recordRun(a.attemptID(), x.fakeServers[n].id)
+						a.succeed()
+						return true
+					}
+					if _, err := io.CopyN(io.Discard, a.request.Body, uploadBytes/8); err != nil {
+						return false
+					}
+					x.history.recordRun(a.attemptID(), x.fakeServers[n].id)
+					begun <- a.attemptID()
+					c.end(a)
+					return false
+				})
+			}
+			x.awaitServing()
+			attempt, key := newAttemptID(), "k-"+newAttemptID()
+			x.history.recordCall(attempt, keyedCall, key)
+			caller := x.dial()
+			defer caller.c.Close()
+			text := requestText(attempt, keyedCall, "upload", key, testkit.Limit/2)
+			_, err := io.WriteString(caller.c, text[:len(text)-uploadBytes/4]) // its end does not come before the server has begun
+			assert.NilError(t, err)
+			assert.Equal(t, receivePromptly(t, "the server did not begin", begun), attempt)
+			answer := callerAnswer{}
+			if c.callerLeaves {
+				caller.c.Close()
+			} else {
+				answer = caller.readAnswer()
+				assert.Equal(t, answer.Status, http.StatusBadGateway)
+			}
+			x.history.recordResponse(attempt, answer)
+			await(t, func() bool { return x.far[0].inbound.openRequests.Load()+x.far[1].inbound.openRequests.Load() == 0 })
+			for range 5 {
+				answer := x.call(keyedCall, "upload", key, time.Second)
+				assert.Assert(t, answer.Status == http.StatusBadGateway || answer.Status == http.StatusConflict, "%+v", answer)
+			}
+			x.assertNoViolations()
+		})
+	}
+}
+
+// awaitServing waits until calls to scripted servers succeed.
+func (x *callChain) awaitServing() {
+	x.t.Helper()
+	await(x.t, func() bool { return x.call(repeatableCall, "plain", "", time.Second).Status == http.StatusOK })
+}
--- a/internal/mesh/sidecar/local_server_protocol.go
+++ b/internal/mesh/sidecar/local_server_protocol.go
@@ -59,6 +59,10 @@
 	return balancer.Success, true
 }
 
+// MayRunIncomplete implements sender.Protocol. A server may respond to a long request, and so begin work on it, before it
+// has read the whole body.
+func (serverProtocol) MayRunIncomplete() bool { return true }
+
 // ResponseHead implements sender.Protocol. It returns the status and the header fields that are forwarded.
 func (serverProtocol) ResponseHead(resp *http.Response) (int, []message.Field, string) {
 	fields := make([]message.Field, 0, len(resp.Header))
--- a/internal/sender/http1/protocol.go
+++ b/internal/sender/http1/protocol.go
@@ -17,6 +17,8 @@
 	Matches(m *message.Request, resp *http.Response) Match
 	// Classify classifies a complete response, and says whether its body is needed.
 	Classify(resp *http.Response) (ending balancer.Ending, wanted bool)
+	// MayRunIncomplete reports whether a server may begin to process a request of which it has received only a part.
+	MayRunIncomplete() bool
 	// ResponseHead returns the head of a response as it is passed downstream.
 	ResponseHead(resp *http.Response) (status int, header []message.Field, contentType string)
 }
@@ -53,6 +55,9 @@
 	return balancer.Failure, false
 }
 
+// MayRunIncomplete implements Protocol: a server of the platform begins a request when its last byte has arrived.
+func (platformProtocol) MayRunIncomplete() bool { return false }
+
 func (platformProtocol) ResponseHead(resp *http.Response) (int, []message.Field, string) {
 	h := []message.Field{}
 	v := resp.Header.Get("Content-Type")
--- a/internal/sender/http1/upload_test.go
+++ b/internal/sender/http1/upload_test.go
@@ -184,3 +184,99 @@
 		t.Errorf("the server got %q, want the head and the 5 bytes before the excess", got)
 	}
 }
+
+// earlyProtocol is a protocol whose servers may begin to process a request before its end, as the mesh's do.
+type earlyProtocol struct{ platformProtocol }
+
+func (earlyProtocol) MayRunIncomplete() bool { return true }
+
+// Guards against a request that is taken for one that has not run, and so runs twice, because it was not written completely: a server may have begun to
+// process it, and certainly has if it has begun to respond.
+func TestIncompleteUploadMayHaveRun(t *testing.T) {
+	t.Parallel()
+	readHead := func(r *bufio.Reader) { http.ReadRequest(r) }
+	breaksOff := func(c net.Conn, r *bufio.Reader) {
+		readHead(r)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\na part of it")
+	}
+	for name, c := range map[string]struct {
+		protocol Protocol
+		serve    func(c net.Conn, r *bufio.Reader)
+		caller   func(rest *message.Stream, cancel context.CancelCauseFunc) // once the server has the head; nil for nothing
+		want     balancer.Ending
+	}{
+		"the response is broken off":                             {protocol: earlyProtocol{}, serve: breaksOff, want: balancer.Broken},
+		"the response of a server of the platform is broken off": {protocol: platformProtocol{}, serve: breaksOff, want: balancer.Broken},
+		"the connection ends":                                    {protocol: earlyProtocol{}, serve: func(_ net.Conn, r *bufio.Reader) { readHead(r) }, want: balancer.Broken},
+		"the connection is reset": {protocol: earlyProtocol{}, serve: func(c net.Conn, r *bufio.Reader) {
+			readHead(r)
+			c.(*net.TCPConn).SetLinger(0)
+		}, want: balancer.Broken},
+		"the response says that it has not run": {protocol: earlyProtocol{}, serve: func(c net.Conn, r *bufio.Reader) {
+			readHead(r)
+			io.WriteString(c, unprocessedResponse)
+			io.Copy(io.Discard, r)
+		}, want: balancer.Overloaded},
+		"the caller breaks off": {
+			protocol: earlyProtocol{}, serve: func(_ net.Conn, r *bufio.Reader) { io.Copy(io.Discard, r) },
+			caller: func(rest *message.Stream, _ context.CancelCauseFunc) { rest.Finish(nil) },
+			want:   balancer.Canceled,
+		},
+		"the caller sends more than it declared": {
+			protocol: earlyProtocol{}, serve: func(_ net.Conn, r *bufio.Reader) { io.Copy(io.Discard, r) },
+			caller: func(rest *message.Stream, _ context.CancelCauseFunc) { rest.Push(make([]byte, 2<<20)) },
+			want:   balancer.Canceled,
+		},
+		"withdrawn": {
+			protocol: earlyProtocol{}, serve: func(_ net.Conn, r *bufio.Reader) { io.Copy(io.Discard, r) },
+			caller: func(_ *message.Stream, cancel context.CancelCauseFunc) { cancel(engine.ErrWithdrawn) },
+			want:   balancer.Canceled,
+		},
+		"timed out": {
+			protocol: earlyProtocol{}, serve: func(_ net.Conn, r *bufio.Reader) { io.Copy(io.Discard, r) },
+			caller: func(_ *message.Stream, cancel context.CancelCauseFunc) { cancel(engine.ErrTimedOut) },
+			want:   balancer.TimedOut,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			arrived := make(chan struct{})
+			addr := testkit.Listen(t, func(conn net.Conn, r *bufio.Reader) {
+				r.Peek(1)
+				close(arrived)
+				c.serve(conn, r)
+			})
+			s := newTestSender(10)
+			s.protocol = c.protocol
+			ctx, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
+			m, rest := uploadRequest(1<<20, "hello")
+			if c.caller != nil {
+				go func() {
+					<-arrived
+					c.caller(rest, cancel)
+				}()
+			}
+			got := s.attempt(ctx, engine.NewAttempt(newEndpoint(addr), m, limit, engine.Hooks{}))
+			if got.ending != c.want {
+				t.Errorf("ending %v, want %v", got.ending, c.want)
+			}
+			if open, _ := s.counts(); open != 0 {
+				t.Errorf("%d connections open", open)
+			}
+		})
+	}
+}
+
+// An upload of which nothing could be written has not run at any server.
+func TestUploadWithoutConnectionHasNotRun(t *testing.T) {
+	t.Parallel()
+	s := newTestSender(10)
+	s.protocol = earlyProtocol{}
+	m, _ := uploadRequest(1<<20, "hello")
+	if res := send(t, s, newEndpoint("127.0.0.1:1"), m); res.ending != balancer.Unreachable {
+		t.Errorf("ending %v, want Unreachable", res.ending)
+	}
+	if m.Spent() {
+		t.Error("the body counts as sent")
+	}
+}
--- a/internal/sender/http1/write.go
+++ b/internal/sender/http1/write.go
@@ -68,24 +68,18 @@
 
 // exchange writes one request and reads its response. keep says whether the connection can be reused.
 func (s *Sender) exchange(ctx context.Context, a *engine.Attempt, c *conn, r *http.Request, text []byte) (res result, keep bool) {
-	sent, complete, err := s.write(ctx, a, c, text)
+	written, err := s.write(ctx, a, c, text)
 	if err != nil {
-		// It was not written completely, so it can't have run.
-		if ctx.Err() != nil || errors.Is(err, errIncompleteRequest) || errors.Is(err, errBodySpent) {
-			return result{ending: balancer.NeverSent}, false
-		}
-		return result{ending: balancer.Unreachable}, false
+		return result{ending: s.endingOfIncomplete(ctx, written, err)}, false
 	}
-	a.RecordTransfer(sent, 0, "")
+	a.RecordTransfer(written.bodyBytes, 0, "")
 	got, err := s.read(ctx, a, c, r)
 	if err != nil {
-		if !complete {
-			return result{ending: balancer.Unreachable}, false
-		}
+		// The server has all of the request, or has begun to respond to a part of it: it may have run in both cases.
 		return result{ending: engine.EndingOf(ctx)}, false
 	}
 	if got.reply == nil {
-		a.RecordTransfer(sent, got.size, "")
+		a.RecordTransfer(written.bodyBytes, got.size, "")
 	}
 	res.ending, _ = s.protocol.Classify(got.resp)
 	if res.ending == balancer.Success {
@@ -94,19 +88,42 @@
 		m := a.Payload.(*message.Request)
 		m.Fail(got.reply)
 	}
-	return res, complete && !got.sawOther && !got.resp.Close && c.reader.Buffered() == 0 && c.SetReadDeadline(time.Time{}) == nil
+	return res, written.complete && !got.sawOther && !got.resp.Close && c.reader.Buffered() == 0 && c.SetReadDeadline(time.Time{}) == nil
+}
+
+// endingOfIncomplete returns the ending of an attempt whose request could not be written completely because of err. If
+// servers may process a part of a request, it may have run as soon as any byte of it was written.
+func (s *Sender) endingOfIncomplete(ctx context.Context, written writtenPart, err error) balancer.Ending {
+	brokenOffByCaller := errors.Is(err, errIncompleteRequest) || errors.Is(err, errBodySpent)
+	mayHaveRun := written.begun && s.protocol.MayRunIncomplete()
+	switch {
+	case mayHaveRun && brokenOffByCaller:
+		return balancer.Canceled // says nothing about the server
+	case mayHaveRun:
+		return engine.EndingOf(ctx)
+	case brokenOffByCaller || ctx.Err() != nil:
+		return balancer.NeverSent
+	}
+	return balancer.Unreachable
 }
 
-// write writes a request, of which text is the head or all. If complete is false without an error, the server has responded
-// before the end of the request, and the response can be read.
-func (s *Sender) write(ctx context.Context, a *engine.Attempt, c *conn, text []byte) (sent int64, complete bool, err error) {
+// writtenPart is how much of a request was written.
+type writtenPart struct {
+	begun     bool  // any byte of it
+	complete  bool  // all of it, or what a server may take for all of it
+	bodyBytes int64 // bytes of the body
+}
+
+// write writes a request, of which text is the head or all. If it was not written completely and err is nil, the server
+// has responded before the end of the request, and the response can be read.
+func (s *Sender) write(ctx context.Context, a *engine.Attempt, c *conn, text []byte) (written writtenPart, err error) {
 	m := a.Payload.(*message.Request)
 	if m.BodyRest == nil {
-		_, err := c.Write(text)
-		return int64(len(m.Body)), true, err
+		n, err := c.Write(text)
+		return writtenPart{begun: n > 0, complete: err == nil, bodyBytes: int64(len(m.Body))}, err
 	}
 	if !m.Claim() {
-		return 0, false, errBodySpent
+		return writtenPart{}, errBodySpent
 	}
 	return s.upload(ctx, c, text, m)
 }
@@ -116,10 +133,10 @@
 // writeTimeout is the time-out of each write of a long request.
 const writeTimeout = 10 * time.Second
 
-// upload writes a request while its caller still sends the body, and stops when the server responds before the end. complete
-// says that the server can have all of it, so that it may run, whatever becomes of the caller or the attempt after that.
-// The goroutine that waits for an early response has ended when upload returns.
-func (s *Sender) upload(ctx context.Context, c *conn, head []byte, m *message.Request) (sent int64, complete bool, err error) {
+// upload writes a request while its caller still sends the body, and stops when the server responds before the end. If the
+// request was written completely it may run, whatever becomes of the caller or the attempt after that. The goroutine that
+// waits for an early response has ended when upload returns.
+func (s *Sender) upload(ctx context.Context, c *conn, head []byte, m *message.Request) (written writtenPart, err error) {
 	writing, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	c.readLimit.N = maxHeaderBytes
@@ -132,22 +149,24 @@
 		}
 		early <- err
 	}()
-	sent, complete, err = uploadBody(writing, timedWriter{c.Conn}, head, m)
-	if err == nil || complete {
+	w := &timedWriter{Conn: c.Conn}
+	written.bodyBytes, written.complete, err = uploadBody(writing, w, head, m)
+	written.begun = w.begun
+	if err == nil || written.complete {
 		// It is written. The goroutine now waits for the response proper.
 		stop(nil)
 	} else if !errors.Is(context.Cause(writing), errEarlyResponse) {
 		_ = c.SetReadDeadline(time.Now()) // wakes the goroutine; fails only if the connection is closed, which does so too
 		<-early                           //nolint:errcheck // the upload has failed already, with an error that says more
-		return sent, false, err
+		return written, err
 	}
 	if err := <-early; err != nil {
-		if complete {
-			return sent, true, nil // the reader meets the same error, and classifies it
+		if written.complete {
+			return written, nil // the reader meets the same error, and classifies it
 		}
-		return sent, false, err
+		return written, err
 	}
-	return sent, complete, c.SetWriteDeadline(time.Time{})
+	return written, c.SetWriteDeadline(time.Time{})
 }
 
 // uploadBody writes a head and the body that follows. complete says that all of it was written, or what a server may take for
@@ -193,11 +212,16 @@
 )
 
 // timedWriter is a connection with a time-out for each write.
-type timedWriter struct{ net.Conn }
+type timedWriter struct {
+	net.Conn
+	begun bool // any byte was written
+}
 
-func (w timedWriter) Write(p []byte) (int, error) {
+func (w *timedWriter) Write(p []byte) (int, error) {
 	if err := w.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	return w.Conn.Write(p)
+	n, err := w.Conn.Write(p)
+	w.begun = w.begun || n > 0
+	return n, err
 }
