Logs: the format of times is set once for a process

Seen: go test -race ./internal/mesh/scale reports a data race in a worker, which makes a logger for each of its sidecars: logring.New wrote zerolog's global format while others logged. The report was not the reason for a failure. Cause by its stack; each program of the mesh has one logger, so callers were not affected. The format is now set by a sync.OnceFunc. After it the package's tests passed once with -race, without a report.

--- a/internal/mesh/logring/logring.go
+++ b/internal/mesh/logring/logring.go
@@ -28,10 +28,13 @@
 	lastFlush time.Time
 }
 
+// setTimeFormat sets the format of all loggers' times, once, because loggers of the same process read it while they log.
+var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs })
+
 // New returns a logger for the process called name, and the ring to which the logger writes. Logging an error flushes the ring to out.
 func New(out io.Writer, name string) (zerolog.Logger, *Ring) {
 	ring := &Ring{out: out, now: time.Now}
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	setTimeFormat()
 	return zerolog.New(ring).With().Timestamp().Str("at", name).Logger(), ring
 }
 
