A server that has deregistered stays out after its sidecar's restart

Callers saw: a server has deregistered, which its sidecar acknowledged, and serves on as it should. The sidecar is killed and starts again, and requests reach the server again for seconds, later than DrainS after the acknowledgement. Keyed ones that are at work when it ends get 502 for their window.

Cause: that an instance has left is kept in memory only. After a start the first heartbeat was believed, whoever sent it, and a heartbeat that was sent before the deregister call may come seconds late.

Change: within 10 s of a sidecar's start, while a heartbeat may be older than its memory, a heartbeat alone makes no instance the current one, unless its CallSeq says that it has just started. It is held until a health check names the instance: a leaving server fails its health checks. A later heartbeat was sent after the start.

Ruled out: a file, which a full or slow disk would hold up before each acknowledgement; the records of other sidecars, which know only what left this one before the kill.

Tests: newTestLocalServer now has a confirmed configuration without health checks, since its tests expect the first heartbeat to be believed; their assertions are unchanged. FakeApp of the soak fails its health check once it leaves.

--- a/internal/mesh/scale/fake_server.go
+++ b/internal/mesh/scale/fake_server.go
@@ -34,8 +34,8 @@
 
 	mu       sync.Mutex // guards below
 	node     string
-	instance int // number of the instance, which a restart increments
-	sequence int64
+	instance int   // number of the instance, which a restart increments
+	sequence int64 // number of the instance's latest call
 	draining bool
 }
 
@@ -69,6 +69,7 @@
 	acknowledged := s.sendHeartbeat()
 	s.mu.Lock()
 	s.instance++
+	s.sequence = 0 // an instance numbers its calls from its start
 	s.draining = false
 	s.mu.Unlock()
 	return s.sendHeartbeat() && acknowledged
--- a/internal/mesh/sidecar/local_server.go
+++ b/internal/mesh/sidecar/local_server.go
@@ -22,12 +22,15 @@
 	metrics               *requestMetrics
 	directory             *directoryView
 	controlPlane          *controlPlaneConn
-	reachabilityCheckRuns atomic.Bool // at most one checkReachable runs at a time
+	healthPath            func() (path string, known bool) // of the server's health check; "" if it has none
+	reachabilityCheckRuns atomic.Bool                      // at most one checkReachable runs at a time
+	confirmationRuns      atomic.Bool                      // at most one confirmHeld runs at a time
 
 	mu                sync.Mutex // guards below
 	current           directory.Record
 	endpoint          *engine.Endpoint // nil if no server is known
 	instances         instanceTracker
+	held              *heldHeartbeat        // waits for a health check; nil if none does
 	leaving           bool                  // whether the sidecar is shutting down
 	reportedState     directory.ServerState // as the server itself reported it last
 	heldByOperator    bool
@@ -48,11 +51,13 @@
 		Service:         set.Service,
 		ProtocolVersion: transport.ProtocolVersion,
 	}
+	instances := newInstanceTracker()
+	instances.startedAt = time.Now()
 	l := &localServer{
 		env:       env,
 		sender:    s,
 		metrics:   metrics,
-		instances: newInstanceTracker(),
+		instances: instances,
 		current:   current,
 	}
 	l.published.Store(&current)
@@ -110,9 +115,9 @@
 	s.publish()
 }
 
-// heartbeat applies a heartbeat of the server. It ignores a heartbeat that was overtaken by a later one, or whose
-// instance has left or was replaced (see instanceTracker). It returns an api.Error if the heartbeat lacks a valid ID or
-// an address.
+// heartbeat applies a heartbeat of the server, or holds it until a health check has confirmed its instance. It ignores a
+// heartbeat that was overtaken by a later one, or whose instance has left or was replaced (see instanceTracker). It
+// returns an api.Error if the heartbeat lacks a valid ID or an address.
 func (s *localServer) heartbeat(id string, heartbeat Heartbeat) error {
 	if id == "" || len(id) > maxIDBytes || heartbeat.Address == "" {
 		return api.NewError(http.StatusBadRequest, "a beat without id or Address")
@@ -120,9 +125,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	effect := s.instances.heartbeat(id, heartbeat.OperStatus.CallSeq, time.Now(), s.env.settings.Load().HeartbeatS.Duration())
-	if effect == heartbeatIgnored {
-		return nil
+	switch effect {
+	case heartbeatIgnored:
+	case heartbeatUnconfirmed:
+		s.hold(id, heartbeat)
+	case heartbeatOfCurrent, heartbeatOfSuccessor:
+		s.applyHeartbeat(effect, id, heartbeat)
 	}
+	return nil
+}
+
+// applyHeartbeat applies a heartbeat of the current instance. The caller holds mu.
+func (s *localServer) applyHeartbeat(effect heartbeatEffect, id string, heartbeat Heartbeat) {
+	s.held = nil
 	if effect == heartbeatOfSuccessor || s.endpoint == nil || s.endpoint.Addr != heartbeat.Address {
 		s.replaceInstance(id, heartbeat)
 	}
@@ -131,7 +146,6 @@
 		state = directory.ServerDraining
 	}
 	s.applyReportedState(state)
-	return nil
 }
 
 // replaceInstance replaces the local server by another instance, or by the same one at a new address. The caller holds
@@ -222,6 +236,9 @@
 func (s *localServer) deregister(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.held != nil && s.held.id == id {
+		s.held = nil
+	}
 	if s.instances.deregister(id) {
 		s.stopSending()
 		s.endpoint = nil
--- a/internal/mesh/sidecar/local_server_health.go
+++ b/internal/mesh/sidecar/local_server_health.go
@@ -65,7 +65,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.instances.applyProbe(id, time.Now()) {
+	if s.applyPassedCheck(id) || !s.instances.applyProbe(id, time.Now()) {
 		return // a heartbeat arrived in the meantime, or the instance has left
 	}
 	s.endpoint = engine.NewEndpoint(id, set.AppAddress)
@@ -118,11 +118,13 @@
 	}
 }
 
-// checkHeartbeat marks the server as down if too many heartbeats were missed. It publishes the record in that case, and
-// also if refreshDue is set. It reports whether it published the record.
+// checkHeartbeat marks the server as down if too many heartbeats were missed, and repeats the health check that a held
+// heartbeat waits for. It publishes the record if the server went down, and also if refreshDue is set. It reports whether
+// it published the record.
 func (s *localServer) checkHeartbeat(refreshDue bool) (published bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.startConfirmation()
 	interval := s.env.settings.Load().HeartbeatS.Duration()
 	missed := s.current.State == directory.ServerReady && s.instances.isSilent(time.Now(), interval)
 	if missed {
--- a/internal/mesh/sidecar/local_server_instances.go
+++ b/internal/mesh/sidecar/local_server_instances.go
@@ -1,11 +1,16 @@
 package sidecar
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
-	// maxInstanceRecords is how many instances are remembered. If there are more, all but the current one are
-	// forgotten, so that memory is bounded however often a server restarts.
+	// maxInstanceRecords is how many instances are remembered: the current one and the latest others, so that memory is
+	// bounded however often a server restarts.
 	maxInstanceRecords = 64
+	// maxHeartbeatDelay is how late a heartbeat may arrive.
+	maxHeartbeatDelay = 10 * time.Second
 	// maxFirstCallSeq is the highest CallSeq of an instance that counts as just started. An instance numbers its calls
 	// from its start, and the first few may be lost.
 	maxFirstCallSeq = 3
@@ -24,6 +29,7 @@
 	heartbeatIgnored     heartbeatEffect = iota // it was overtaken, or its instance is not the current one
 	heartbeatOfCurrent                          // it belongs to the current instance
 	heartbeatOfSuccessor                        // its instance has become the current one
+	heartbeatUnconfirmed                        // its instance may have left before the tracker began, see confirm
 )
 
 // instanceRecord is what is remembered of a current or former instance.
@@ -42,10 +48,16 @@
 // if none of the current instance arrives in between. Only instances that have deregistered are excluded as long as
 // they are remembered: if a former instance did become the current one, heartbeats of the running instance replace it
 // again in the same way.
+//
+// An instance that has announced that it leaves must get no requests even if the sidecar has restarted since. So for
+// maxHeartbeatDelay after the start, while a heartbeat may be older than that, a heartbeat alone makes no other instance
+// the current one, unless the instance has just started: it needs a health check, which fails once a server is leaving.
 type instanceTracker struct {
-	current       string // instance ID; empty if no server is known
+	startedAt     time.Time // of the memory; the zero time stands for one that is complete
+	current       string    // instance ID; empty if no server is known
 	lastHeartbeat time.Time
 	records       map[string]instanceRecord // by instance ID
+	recordOrder   []string                  // the keys of records, in the order in which they were added
 
 	// candidate is another instance that has sent heartbeats since the latest heartbeat of the current instance, the
 	// first of them at candidateSince.
@@ -57,7 +69,8 @@
 	return instanceTracker{records: map[string]instanceRecord{}}
 }
 
-// heartbeat applies a heartbeat that arrived now. An instance sends heartbeats at the given interval.
+// heartbeat applies a heartbeat that arrived now. An instance sends heartbeats at the given interval. If the result is
+// heartbeatUnconfirmed, the instance becomes the current one by confirm.
 func (t *instanceTracker) heartbeat(id string, callSeq int64, now time.Time, interval time.Duration) heartbeatEffect {
 	former, known := t.records[id]
 	if known && (former.deregistered || callSeq <= former.callSeq) {
@@ -68,13 +81,29 @@
 	case id == t.current:
 		t.setCurrent(id, now)
 		return heartbeatOfCurrent
-	case t.current == "", !known && callSeq <= maxFirstCallSeq, t.isSilent(now, interval), t.considerCandidate(id, now, interval):
+	case !known && callSeq <= maxFirstCallSeq:
+		t.setCurrent(id, now)
+		return heartbeatOfSuccessor
+	case t.current == "", t.isSilent(now, interval), t.considerCandidate(id, now, interval):
+		if now.Sub(t.startedAt) < maxHeartbeatDelay {
+			return heartbeatUnconfirmed
+		}
 		t.setCurrent(id, now)
 		return heartbeatOfSuccessor
 	}
 	return heartbeatIgnored
 }
 
+// confirm makes an instance the current one whose heartbeat was unconfirmed and which has passed a health check now. It
+// returns false if the instance has deregistered in the meantime.
+func (t *instanceTracker) confirm(id string, now time.Time) bool {
+	if t.records[id].deregistered {
+		return false
+	}
+	t.setCurrent(id, now)
+	return true
+}
+
 // considerCandidate records a heartbeat of another instance. It reports whether that instance becomes the current one:
 // its heartbeats have arrived for half an interval, and none of the current instance. A shorter time does not suffice,
 // because late heartbeats may be delivered together.
@@ -115,17 +144,19 @@
 	return true
 }
 
-// remember stores the record of an instance. If there are too many records, it first deletes those of all instances but
-// the current one.
+// remember stores the record of an instance. If there are too many records, it deletes the oldest, but not that of the
+// current instance.
 func (t *instanceTracker) remember(id string, instance instanceRecord) {
-	if len(t.records) > maxInstanceRecords {
-		current := t.records[t.current]
-		clear(t.records)
-		if t.current != "" {
-			t.records[t.current] = current
-		}
+	if _, known := t.records[id]; !known {
+		t.recordOrder = append(t.recordOrder, id)
 	}
 	t.records[id] = instance
+	if len(t.records) <= maxInstanceRecords {
+		return
+	}
+	oldest := slices.IndexFunc(t.recordOrder, func(other string) bool { return other != t.current && other != id })
+	delete(t.records, t.recordOrder[oldest])
+	t.recordOrder = slices.Delete(t.recordOrder, oldest, oldest+1)
 }
 
 // isSilent reports whether the current instance has missed so many heartbeats that it counts as gone.
--- a/internal/mesh/sidecar/local_server_test.go
+++ b/internal/mesh/sidecar/local_server_test.go
@@ -16,10 +16,12 @@
 // maxAcknowledgementBytes is the largest acknowledgement that a server accepts.
 const maxAcknowledgementBytes = 4 << 10
 
-// newTestLocalServer returns the localServer of a new sidecar that has not received any heartbeat.
+// newTestLocalServer returns the localServer of a new sidecar that has not received any heartbeat. The configuration is confirmed, and has no health
+// checks for its service.
 func newTestLocalServer(t *testing.T) *localServer {
 	t.Helper()
 	s, _, _ := newFollowingSidecar(t)
+	s.configurationConfirmed()
 	return s.localServer
 }
 
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -133,6 +133,7 @@
 	s.maintenance.recaller = s.inbound.responseExchange
 	s.localServer.directory = s.directory
 	s.localServer.controlPlane = s.controlPlane
+	s.localServer.healthPath = s.serverHealthPath
 	s.controlPlane.configuration = s.configuration
 	s.controlPlane.directory = s.directory
 	s.controlPlane.maintenance = s.maintenance
@@ -201,13 +202,16 @@
 // marks the sidecar as configured and starts the health probe of the local server. It runs on a goroutine that
 // controlPlaneConn.run waits for, so background is not empty when it adds the probe.
 func (s *Sidecar) configurationConfirmed() {
-	if !s.readiness.configured.CompareAndSwap(false, true) {
-		return
+	if s.readiness.configured.CompareAndSwap(false, true) {
+		s.background.Go(s.localServer.healthCheckKnown)
 	}
+}
+
+// serverHealthPath returns the path of the local server's health check, which is empty if it has none. It is not known
+// before the configuration was confirmed.
+func (s *Sidecar) serverHealthPath() (path string, known bool) {
 	service := s.env.settings.Load().Service
-	if group := s.configuration.routing.Load().Services[service]; group.HealthPath != "" {
-		s.background.Go(func() { s.localServer.probe(group.HealthPath) })
-	}
+	return s.configuration.routing.Load().Services[service].HealthPath, s.readiness.configured.Load()
 }
 
 // shutdown asks callers to move to other sidecars, then finishes open requests within the rest of the grace period,
--- a/internal/mesh/testcluster/soak_test.go
+++ b/internal/mesh/testcluster/soak_test.go
@@ -222,6 +222,7 @@
 // leave ends the server in order: it deregisters, and ends once it has answered what it runs.
 func (a *FakeApp) leave() {
 	close(a.stop)
+	a.state.Store(appDraining) // it fails its health checks from now on
 	a.call("deregister", nil)
 	_ = a.server.Shutdown(context.Background()) // ends with the last request, of which each ends by itself
 }
