--- a/internal/h2/client/client.go
+++ b/internal/h2/client/client.go
@@ -227,7 +227,7 @@
 		s := c.streams[id]
 		delete(c.streams, id)
 		ending := ConnectionLost
-		if !s.mayHaveRun() || slices.Contains(unwritten, id) && !s.openedWithParts {
+		if !s.mayHaveRun() || slices.Contains(unwritten, id) && !s.openedWithParts && !s.finalHeaders {
 			ending = NotWritten
 		}
 		c.emit(Done{Stream: id, Ending: ending})
--- a/internal/h2/client/client_test.go
+++ b/internal/h2/client/client_test.go
@@ -62,6 +62,17 @@
 			events: []Event{RSTStream{1, 2}},
 			want:   "1 reset",
 		},
+		{ // guards against a second run: the request counted as not written, though the server had begun to respond to a part of it
+			name:   "RST_STREAM after HEADERS, before the request was written",
+			body:   body,
+			events: []Event{response(1, false), RSTStream{1, 2}},
+			want:   "1 reset",
+		},
+		{
+			name:   "above the last stream of GOAWAY after HEADERS",
+			events: []Event{response(1, false), GoAway{0, 0}},
+			want:   "1 reset",
+		},
 		{
 			name:   "RST_STREAM before the request was written",
 			body:   body,
@@ -241,6 +252,12 @@
 	if got := endings(conn.Close(3)); got != "1 connection lost, 3 not written" {
 		t.Errorf("with a write that failed: %q", got)
 	}
+	conn = newTestConn(t, Config{}, Settings{})
+	conn.Request(0, getFields, make([]byte, 100_000), false)
+	conn.Handle(0, response(1, false))
+	if got := endings(conn.Close(1)); got != "1 connection lost" {
+		t.Errorf("with a write that failed after the response had begun: %q", got)
+	}
 }
 
 // GOAWAY with 50 open streams, half of them above its last id: that half ends as AboveGoAway, the other half continues.
--- a/internal/h2/client/receive.go
+++ b/internal/h2/client/receive.go
@@ -252,7 +252,11 @@
 func (c *Conn) goAway(e GoAway) {
 	c.goingAway = true
 	for _, id := range c.sortedIDs() {
-		if s := c.streams[id]; s != nil && id > e.Last {
+		switch s := c.streams[id]; {
+		case s == nil || id <= e.Last:
+		case s.finalHeaders: // the request was processed, whatever GOAWAY says
+			c.endStream(s, Reset)
+		default:
 			c.endStream(s, AboveGoAway)
 		}
 	}
--- a/internal/h2/client/stream.go
+++ b/internal/h2/client/stream.go
@@ -31,8 +31,10 @@
 }
 
 // mayHaveRun reports whether a server may have begun to process the request: it was written completely, or its body is sent in
-// parts and its HEADERS were written.
-func (s *stream) mayHaveRun() bool { return s.endWritten || s.openedWithParts && s.headersWritten }
+// parts and its HEADERS were written, or the server has begun to respond to it.
+func (s *stream) mayHaveRun() bool {
+	return s.endWritten || s.openedWithParts && s.headersWritten || s.finalHeaders
+}
 
 // Cancel resets a stream with CANCEL, which ends it with Done. It has no effect on a stream that has ended.
 func (c *Conn) Cancel(now time.Duration, id uint32) []Action {
