HTTP/2 to servers: a request that a failed batch has written counts as written

A connection writes the frames of several requests in one batch. After a failed write each request whose last byte was in the batch counted as not written, also those that the connection had accepted completely, and could be sent again.

Evidence: TestBatchOfRequestsWrittenInPart on the code before fails from the 83rd byte on, in 5,019 cases: "stream 1: not written, written completely: true".

Change: the writer counts accepted bytes, and a request is not written only if its last one is not among them. Ruled out: counting nothing as not written after a failed write; the first request of a connection that breaks at once could then not be retried.

--- a/internal/sender/h2/frames.go
+++ b/internal/sender/h2/frames.go
@@ -25,6 +25,8 @@
 // error: the buffer keeps the first error of a write, and flush returns it.
 type frameWriter struct {
 	netConn net.Conn
+	queued  int64           // bytes that were written to buffer
+	sent    *countingWriter // under buffer
 	buffer  *bufio.Writer
 	framer  *http2.Framer
 	encoder *hpack.Encoder
@@ -33,13 +35,35 @@
 
 // newFrameWriter returns a writer whose buffer holds the client's connection preface (RFC 9113, section 3.4).
 func newFrameWriter(netConn net.Conn) *frameWriter {
-	w := &frameWriter{netConn: netConn, buffer: bufio.NewWriter(netConn)}
-	w.framer = http2.NewFramer(w.buffer, nil)
+	sent := &countingWriter{writer: netConn}
+	w := &frameWriter{netConn: netConn, sent: sent, buffer: bufio.NewWriter(sent)}
+	w.framer = http2.NewFramer(w, nil)
 	w.encoder = hpack.NewEncoder(&w.block)
-	_, _ = w.buffer.WriteString(http2.ClientPreface)
+	_, _ = io.WriteString(w, http2.ClientPreface)
 	return w
 }
 
+// countingWriter counts the bytes that a writer has accepted.
+type countingWriter struct {
+	writer io.Writer
+	bytes  int64
+}
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	n, err := w.writer.Write(p)
+	w.bytes += int64(n)
+	return n, err
+}
+
+// Write writes bytes of a frame to the buffer.
+func (w *frameWriter) Write(p []byte) (int, error) {
+	w.queued += int64(len(p))
+	return w.buffer.Write(p)
+}
+
+// hasSent reports whether the connection has accepted all bytes up to a position, which is a former value of queued.
+func (w *frameWriter) hasSent(position int64) bool { return position <= w.sent.bytes }
+
 // writeControl writes a frame that carries no part of a request.
 func (w *frameWriter) writeControl(action client.Action) {
 	switch a := action.(type) {
--- a/internal/sender/h2/loop.go
+++ b/internal/sender/h2/loop.go
@@ -105,10 +105,16 @@
 	return len(l.requests) == 0 && l.conn.reserved.Load() == 0 && now-time.Duration(l.conn.lastRelease.Load()) >= atLeast
 }
 
-// perform carries out the actions of the state machine. After a write that failed it is unknown how much of the batch was
-// sent, except that its last frame is incomplete. A request counts as not written only if its last byte was in the batch.
+// requestEnd is the position of the last byte of a request on the connection.
+type requestEnd struct {
+	stream   uint32
+	position int64
+}
+
+// perform carries out the actions of the state machine. After a write that failed, a request counts as not written only if
+// its last byte was in the batch and the connection has not accepted that byte.
 func (l *connLoop) perform(actions []client.Action) error {
-	var lastBytes []uint32 // streams whose last byte is in this batch
+	var ends []requestEnd // of the requests whose last byte is in this batch
 	var done []client.Done
 	var failure error
 	for _, action := range actions {
@@ -116,12 +122,12 @@
 		case client.WriteHeaders:
 			l.frames.writeHeaders(a)
 			if a.End {
-				lastBytes = append(lastBytes, a.Stream)
+				ends = append(ends, requestEnd{a.Stream, l.frames.queued})
 			}
 		case client.WriteData:
 			l.frames.writeData(a)
 			if a.End {
-				lastBytes = append(lastBytes, a.Stream)
+				ends = append(ends, requestEnd{a.Stream, l.frames.queued})
 			}
 		case client.Began:
 			l.beginReply(a)
@@ -140,7 +146,7 @@
 	}
 	if err := l.frames.flush(); err != nil {
 		failure = err
-		done = appendDone(done, l.machine.Close(lastBytes...))
+		done = appendDone(done, l.machine.Close(l.unwritten(ends)...))
 	}
 	// Only now: until the flush it is not known whether the streams that ended were written.
 	for _, d := range done {
@@ -149,6 +155,16 @@
 	return failure
 }
 
+// unwritten returns the streams of requests whose last byte the connection has not accepted.
+func (l *connLoop) unwritten(ends []requestEnd) (streams []uint32) {
+	for _, end := range ends {
+		if !l.frames.hasSent(end.position) {
+			streams = append(streams, end.stream)
+		}
+	}
+	return streams
+}
+
 // appendDone appends the ended streams among actions.
 func appendDone(done []client.Done, actions []client.Action) []client.Done {
 	for _, action := range actions {
