A key whose own lease is being released has not run: 503 in place of 502

Callers saw: a keyed request gets 503 while the control plane changes its leader, and its repeat, half a second later, 502 "the key's request has run, or may have".

Cause: the sidecar gave up waiting for the lease, which was granted later; until its release was committed, the repeat found that sidecar as the holder. holderResponse took any own address for an earlier incarnation of the sidecar, whose records are lost.

TestRepeatBeforeReleaseOfOwnLease on the code before: 502, want 503.

Ruled out: that 502 stands for a key that ran: no test of keys found a second run.

--- a/internal/mesh/sidecar/key_lease.go
+++ b/internal/mesh/sidecar/key_lease.go
@@ -85,6 +85,11 @@
 // record of the key.
 func (r *inboundRequest) holderResponse(ctx context.Context, holder string) *wire.ResponseT {
 	server := r.inbound
+	if holder == server.env.leaseHolder() {
+		// An earlier request of this process was granted the lease after it had stopped waiting for it. It has not run, or
+		// there would be a record of the key, and the lease is being released.
+		return &wire.ResponseT{Ending: codeKeyNotGranted}
+	}
 	addr := holderAddr(holder)
 	if addr == server.env.addr() && server.maintenance.successorOf(addr) == "" {
 		return r.lostResponse() // the holder is an earlier incarnation of this sidecar, whose records are lost
--- a/internal/mesh/sidecar/key_releases_test.go
+++ b/internal/mesh/sidecar/key_releases_test.go
@@ -3,9 +3,11 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"cranegrade/internal/mesh/idempotency"
 	"cranegrade/internal/mesh/transport"
 	"cranegrade/internal/mesh/transport/codec"
 	"cranegrade/internal/mesh/transport/wire"
@@ -54,3 +56,26 @@
 	assert.Equal(t, len(q.takePending()), maxPendingReleases)
 	assert.Equal(t, len(q.takePending()), 0)
 }
+
+// Guards against a key that counts as lost though its request never ran. A sidecar had stopped waiting for the key's lease and answered 503; the lease was
+// granted later, and until its release was committed, a repeat of the key found the sidecar itself as the holder and got 502.
+func TestRepeatBeforeReleaseOfOwnLease(t *testing.T) {
+	x := startCallChain(t, 1)
+	x.controlPlane.mu.Lock()
+	x.controlPlane.overrideGrant = func(claim idempotency.LeaseRequest, granted idempotency.LeaseResult) idempotency.LeaseResult {
+		if claim.Release {
+			return granted
+		}
+		earlier := idempotency.LeaseRequest{Key: claim.Key, Token: "earlier", Holder: x.far[0].env.leaseHolder()}
+		x.controlPlane.store.Apply(time.Second, idempotency.LeaseRequest{Key: claim.Key, Token: claim.Token, Holder: claim.Holder, Release: true})
+		return idempotency.LeaseResult{Current: idempotency.Lease{LeaseRequest: earlier}}
+	}
+	x.controlPlane.mu.Unlock()
+	answer := x.call(keyedCall, "plain", "k-1", time.Second)
+	assert.Equal(t, answer.Status, http.StatusServiceUnavailable, "%+v", answer)
+	x.controlPlane.mu.Lock()
+	x.controlPlane.overrideGrant = nil
+	x.controlPlane.mu.Unlock()
+	await(t, func() bool { return x.call(keyedCall, "plain", "k-1", time.Second).Status == http.StatusOK })
+	x.assertNoViolations()
+}
