--- a/internal/mesh/sidecar/local_server.go
+++ b/internal/mesh/sidecar/local_server.go
@@ -24,7 +24,7 @@
 	controlPlane          *controlPlaneConn
 	healthPath            func() (path string, known bool) // of the server's health check; "" if it has none
 	reachabilityCheckRuns atomic.Bool                      // at most one checkReachable runs at a time
-	confirmationRuns      atomic.Bool                      // at most one confirmHeld runs at a time
+	confirmationRuns      atomic.Bool                      // at most one health check of a held heartbeat runs at a time
 
 	mu                sync.Mutex // guards below
 	current           directory.Record
