--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds what the scripts of the second review start, besides the programs of the deploy file.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+go build -o target/review-2/ ./review/4
