--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/ ./review/4
+for case in 4 5; do
+	go build -o "target/review-2/$case" "./review/$case"
+done
