--- a/review/stand2/cluster.go
+++ b/review/stand2/cluster.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -37,8 +38,9 @@
 	memberIP     = 10 // last byte of the first member's address
 	sidecarIP    = 100
 	startTimeout = 20 * time.Second
-	callTimeout  = time.Second // after which callers of the control plane go on to another member
-	killAfter    = time.Second // added to GraceS, so that a slow machine of the test does not count as a late end
+	maxRunTime   = 110 * time.Second // of a script
+	callTimeout  = time.Second       // after which callers of the control plane go on to another member
+	killAfter    = time.Second       // added to GraceS, so that a slow machine of the test does not count as a late end
 )
 
 // zones are those of the deployment.
@@ -108,6 +110,7 @@
 		}
 		c.Sidecars = append(c.Sidecars, m)
 	}
+	go c.endInTime()
 	for _, m := range append(append([]*Machine{}, c.Members...), c.Sidecars...) {
 		if err := m.Start(); err != nil {
 			return c, err
@@ -116,6 +119,18 @@
 	return c, nil
 }
 
+// endInTime ends the script with all its processes after maxRunTime, or when it is told to end.
+func (c *Cluster) endInTime() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-told:
+	case <-time.After(maxRunTime):
+	}
+	c.Close()
+	os.Exit(ExitNotRun)
+}
+
 // choosePorts chooses ports that are free now.
 func (c *Cluster) choosePorts() error {
 	for _, name := range portNames {
