front: close clients' connections in two steps, so that no answer is cut by a reset

Cause: net/http closes the socket as soon as an answer with "Connection: close" is written to the kernel. Bytes of the client that are unread or arrive later make the kernel reset the connection and drop what is not sent yet (RFC 9112, section 9.6).

Change: Close ends the front's side, discards what still comes, and closes the socket once the client has ended its side, or has acknowledged nothing new for 2 s. It can't lose an answer any more, since the kernel resets only a socket that is closed with bytes unread or to come. Lingering connections count as open: shutdowns wait for them and limits hold. Related paths: unread pipelined requests over 32 KiB, pipelined chunked bodies, idle connections with an answer on its way, an answer that breaks off behind a whole one (its reset is left for HTTP/1.0 alone).

Ruled out: a fixed sleep before the close (too short for slow links, too long for the others); the kernel's SO_LINGER (it resets as well while bytes arrive).

--- a/internal/conncheck/conncheck.go
+++ b/internal/conncheck/conncheck.go
@@ -4,6 +4,7 @@
 package conncheck
 
 import (
+	"errors"
 	"net"
 	"syscall"
 
@@ -57,3 +58,22 @@
 	})
 	return err != nil || events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
+
+// Unacknowledged returns how many bytes were written to a TCP connection that its peer has not acknowledged yet, whether they
+// were sent or not. The end of the connection's own side counts as one byte. It neither blocks nor consumes data. It returns 0
+// for connections that are not a *net.TCPConn.
+func Unacknowledged(conn net.Conn) (bytes int, err error) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return 0, nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var ioctlErr error
+	err = raw.Control(func(fd uintptr) {
+		bytes, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+	})
+	return bytes, errors.Join(err, ioctlErr)
+}
--- a/internal/conncheck/conncheck_test.go
+++ b/internal/conncheck/conncheck_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"cranegrade/internal/testkit"
 )
@@ -86,3 +87,35 @@
 		})
 	}
 }
+
+// Unacknowledged counts bytes until the peer's side has taken them, and what a peer that reads nothing can't take.
+func TestUnacknowledged(t *testing.T) {
+	client, server := connect(t)
+	unacknowledged := func() int {
+		bytes, err := Unacknowledged(client)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return bytes
+	}
+	if bytes := unacknowledged(); bytes != 0 {
+		t.Errorf("%d bytes of an idle connection", bytes)
+	}
+	if err := client.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	const moreThanAllBuffers = 64 << 20
+	written, err := client.Write(make([]byte, moreThanAllBuffers))
+	if err == nil {
+		t.Fatal("the peer takes everything without reading")
+	}
+	if bytes := unacknowledged(); bytes == 0 || bytes > written {
+		t.Errorf("%d of %d bytes", bytes, written)
+	}
+	go func() { _, _ = io.Copy(io.Discard, server) }()
+	testkit.Eventually(t, "what the peer has read stays unacknowledged", func() bool { return unacknowledged() == 0 })
+	client.Close()
+	if _, err := Unacknowledged(client); err == nil {
+		t.Error("no error after the close")
+	}
+}
--- a/internal/front/http1/connection.go
+++ b/internal/front/http1/connection.go
@@ -19,17 +19,20 @@
 	share        *pool.Share   // that it counts against
 	quietEntry   *list.Element // in owner.quiet of share, or nil
 	quietSince   time.Time     // time of its last change to quiet
-	closed       bool
-	used         bool         // it has carried a request
-	requestBegan atomic.Int64 // Unix time in ns of the first byte of the request that is being received; 0 if none is
-	lastByteAt   atomic.Int64 // and of its latest byte
-	head         headScanner  // of that request; owned by the goroutine that reads
-	front        *Front       // that starts pipelined requests; nil means none does
-	pipeline     *pipeline    // pipelined requests; nil means they are not started early
-	busy         atomic.Bool  // a request is being served
-	headTimer    *time.Timer  // runs while a header section is incomplete; owned by the goroutine that reads
-	idleTimer    *time.Timer  // runs while it is quiet; nil if it has never been quiet
-	reads        atomic.Int64 // how often net/http has read; counted without a pipeline
+	closed       bool          // it takes no more requests
+	resets       bool          // closing it resets it
+	lingerEntry  *list.Element // in owner.lingering, or nil
+	lingering    atomic.Bool   // it is closed for writing, and what is still read is discarded
+	used         bool          // it has carried a request
+	requestBegan atomic.Int64  // Unix time in ns of the first byte of the request that is being received; 0 if none is
+	lastByteAt   atomic.Int64  // and of its latest byte
+	head         headScanner   // of that request; owned by the goroutine that reads
+	front        *Front        // that starts pipelined requests; nil means none does
+	pipeline     *pipeline     // pipelined requests; nil means they are not started early
+	busy         atomic.Bool   // a request is being served
+	headTimer    *time.Timer   // runs while a header section is incomplete; owned by the goroutine that reads
+	idleTimer    *time.Timer   // runs while it is quiet; nil if it has never been quiet
+	reads        atomic.Int64  // how often net/http has read; counted without a pipeline
 	// cancelRequests ends the context of the connection's requests, as net/http does when it notices the caller's end. It is set
 	// before the connection is served.
 	cancelRequests context.CancelFunc
@@ -46,25 +49,6 @@
 	c.quietEntry = quiet.PushBack(c)
 }
 
-// close closes the connection, once. The caller holds the lock.
-func (c *connection) close() error {
-	if c.closed {
-		return net.ErrClosed
-	}
-	c.closed = true
-	if c.idleTimer != nil {
-		c.idleTimer.Stop() // otherwise it would keep the closed connection in memory
-	}
-	c.owner.count.Add(-1)
-	c.removeQuiet()
-	c.share.Give(1)
-	c.owner.signalFreed()
-	if c.pipeline != nil {
-		go c.pipeline.end()
-	}
-	return c.Conn.Close()
-}
-
 // removeQuiet removes the connection from the quiet ones. The caller holds the lock.
 func (c *connection) removeQuiet() {
 	if c.quietEntry != nil {
@@ -98,7 +82,7 @@
 func (c *connection) Close() error {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	return c.close()
+	return c.beginClose()
 }
 
 func (c *connection) Read(p []byte) (n int, err error) {
@@ -107,6 +91,9 @@
 	} else {
 		n, err = c.readOnce(p)
 	}
+	if c.lingering.Load() {
+		return 0, net.ErrClosed // it was closed while net/http waited for the next request
+	}
 	if n > 0 && c.owner.scanHeads {
 		c.head.take(p[:n])
 		c.watchHead()
@@ -157,7 +144,7 @@
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
 	if c.quietEntry != nil && began != 0 && c.requestBegan.Load() == began {
-		_ = c.close()
+		_ = c.beginClose()
 	}
 }
 
@@ -176,12 +163,18 @@
 	return err
 }
 
-// resetOnClose has the connection end with a TCP reset, which a caller can't take for the end of an answer that ends with
-// its connection (RFC 9112, section 6.3).
+// resetOnClose has the connection end with a TCP reset if the caller could take its end for that of a complete answer: an
+// answer to HTTP/1.0 without a length ends with its connection (RFC 9112, section 6.3). Any other incomplete answer is known by
+// its length or its chunks, and a reset could drop the answer before it.
 func (c *connection) resetOnClose(hr *http.Request) {
-	if t, is := c.Conn.(*net.TCPConn); is && hr.ProtoMajor == 1 {
-		_ = t.SetLinger(0) // fails only if the connection has ended
+	tcp, isTCP := c.Conn.(*net.TCPConn)
+	if !isTCP || hr.ProtoMajor != 1 || hr.ProtoMinor != 0 {
+		return
 	}
+	_ = tcp.SetLinger(0) // fails only if the connection has ended
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	c.resets = true
 }
 
 // beginRequest notes that a request is accepted: the connection is not closed until it is answered. It returns false if it
@@ -232,7 +225,7 @@
 	}
 	if c.quietEntry != nil && c.quietSince.Equal(since) && c.requestBegan.Load() == 0 &&
 		(c.pipeline == nil || c.pipeline.pending.Load() == 0) && conncheck.Peek(c.Conn) != nil {
-		_ = c.close()
+		_ = c.beginClose()
 	}
 }
 
--- a/internal/front/http1/connections.go
+++ b/internal/front/http1/connections.go
@@ -21,16 +21,19 @@
 	net.Listener
 	unassigned *pool.Share
 
-	mu          sync.Mutex                 // guards quiet, and fields of connections that are neither atomic nor marked
+	mu          sync.Mutex                 // guards quiet, lingering and closesAtOnce, and fields of connections that are neither atomic nor marked
 	quiet       map[*pool.Share]*list.List // of *connection: those without an accepted request, the longest such first
 	freed       chan struct{}              // has a token when a connection may have become one that can be closed
-	count       atomic.Int64               // open connections
+	lingering   *list.List                 // of *connection: those that are closed for writing only, the longest such first
+	count       atomic.Int64               // open connections, also lingering ones
 	scanHeads   bool                       // header sections are scanned as they come: HTTP/1.1
 	front       *Front                     // starts pipelined requests; nil means none does
 	idleTimeout atomic.Int64               // in ns; 0 means net/http's
 	// headTimeout is the time-out of a header section, in ns; 0 means net/http's.
 	headTimeout atomic.Int64
 	ownTimes    bool // idleTimeout and headTimeout alone apply; not changed after the first Accept
+	// closesAtOnce has connections closed in one step, whatever of their answers is lost.
+	closesAtOnce bool
 }
 
 func newConnections(l net.Listener, unassigned *pool.Share) *connections {
@@ -38,6 +41,7 @@
 		Listener:   l,
 		unassigned: unassigned,
 		quiet:      map[*pool.Share]*list.List{},
+		lingering:  list.New(),
 		freed:      make(chan struct{}, 1),
 	}
 }
@@ -106,7 +110,7 @@
 	if best == nil {
 		return false
 	}
-	_ = best.close()
+	_ = best.beginClose()
 	return true
 }
 
@@ -121,10 +125,10 @@
 		}
 		if c.requestBegan.Load() == 0 {
 			// Without an error of Peek there are unread bytes of a request.
-			if now.Sub(c.quietSince) > newConnectionGrace && conncheck.Peek(c.Conn) != nil {
+			if now.Sub(c.quietSince) > newConnectionGrace && conncheck.Peek(c.Conn) != nil && !c.hasAnswerOnItsWay() {
 				return c
 			}
-		} else if last := c.lastByteAt.Load(); last < oldest {
+		} else if last := c.lastByteAt.Load(); last < oldest && !c.hasAnswerOnItsWay() {
 			least, oldest = c, last
 		}
 	}
@@ -151,13 +155,13 @@
 			}
 			idle := c.requestBegan.Load() == 0 && (c.used || time.Since(c.quietSince) > drainNewAfter)
 			stalled := c.requestBegan.Load() != 0 && time.Since(time.Unix(0, c.lastByteAt.Load())) > drainStalledAfter
-			if (idle || stalled) && conncheck.Peek(c.Conn) != nil {
+			if (idle || stalled) && conncheck.Peek(c.Conn) != nil && !c.hasAnswerOnItsWay() {
 				closing = append(closing, c)
 			}
 		}
 	}
 	for _, c := range closing {
-		_ = c.close()
+		_ = c.beginClose()
 	}
 }
 
--- a/internal/front/http1/front.go
+++ b/internal/front/http1/front.go
@@ -5,7 +5,7 @@
 // Files: front.go has the listener's life cycle, h2.go the limits of HTTP/2, protocol.go what the platform's and the
 // mesh's protocols add, platform.go the platform's, request.go the course of a request, call.go its side towards the
 // engine, body.go long bodies, connections.go the listener and its limit, connection.go one downstream connection,
-// pipeline.go pipelined requests, head.go what net/http drops of a header section.
+// linger.go its end, pipeline.go pipelined requests, head.go what net/http drops of a header section.
 package http1
 
 import (
@@ -165,11 +165,19 @@
 // and those answers would be lost. It is called once.
 func (f *Front) AbandonBlockedPipelines() { close(f.giveUp) }
 
-// Shutdown stops accepting and waits until every accepted request is answered, or ctx ends.
-func (f *Front) Shutdown(ctx context.Context) error { return f.server.Shutdown(ctx) }
+// Shutdown stops accepting and waits until every accepted request is answered and every connection is closed, or ctx ends.
+func (f *Front) Shutdown(ctx context.Context) error {
+	if err := f.server.Shutdown(ctx); err != nil {
+		return err
+	}
+	return f.conns.awaitLingering(ctx)
+}
 
 // Close closes the listener and all connections at once.
-func (f *Front) Close() error { return f.server.Close() }
+func (f *Front) Close() error {
+	f.conns.closeLingering()
+	return f.server.Close()
+}
 
 type connectionKey struct{}
 
--- a/internal/front/http1/pipeline.go
+++ b/internal/front/http1/pipeline.go
@@ -281,6 +281,7 @@
 func (pl *pipeline) end() {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
+	pl.paused = false // readAhead returns
 	pl.stopEarlyStarts()
 	for _, e := range pl.started {
 		go e.abandon()
