sidecar: after its start, no heartbeat alone makes a server the current one

Cause: for 10 s after its start a sidecar asks a health check before it believes a heartbeat, but not for one with a CallSeq of up to 3, which it took for the start of an instance. That number says when a heartbeat was sent, not that its server is there.

Change: the exception is gone. A server that has just started passes its first health check, one round trip on its machine later.

Tests that held the fault: TestHeartbeatAfterStartNeedsConfirmation wanted the CallSeq 2 to be believed at once, and now wants it unconfirmed; TestHeartbeatsInAllOrders keeps all its cases for heartbeats that come long after a restart, and wants none believed right after one. newTestLocalServer and the call chain stand for sidecars that were started long ago.

Ruled out: a file of departures (each acknowledgement would wait for the disk), and asking other processes, which know only what had left this one before its kill.

--- a/internal/mesh/scale/fake_server.go
+++ b/internal/mesh/scale/fake_server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,7 +19,8 @@
 	serverTimeout = time.Second // of one heartbeat
 )
 
-// fakeServer stands in for the application server beside a full sidecar: it sends heartbeats, drains, is replaced and crashes.
+// fakeServer stands in for the application server beside a full sidecar: it sends heartbeats, answers health checks, drains, is
+// replaced and crashes.
 type fakeServer struct {
 	sidecarAddress string // by which other sidecars know the one beside it
 	controlAddress string // of that sidecar, for heartbeats
@@ -29,6 +31,7 @@
 	heartbeats     *atomic.Int64 // sent by all servers of a fleet
 	interval       atomic.Int64  // of heartbeats, in nanoseconds
 	running        sync.WaitGroup
+	healthChecks   *http.Server
 	stop           chan struct{}
 	closeOnce      sync.Once
 
@@ -39,10 +42,16 @@
 	draining bool
 }
 
-// start begins to send heartbeats, until close.
-func (s *fakeServer) start() {
+// start begins to answer health checks and to send heartbeats, until close.
+func (s *fakeServer) start() error {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
 	s.instance = 1
 	s.stop = make(chan struct{})
+	s.healthChecks = &http.Server{Handler: http.HandlerFunc(s.answerHealthCheck), ReadHeaderTimeout: serverTimeout}
+	s.running.Go(func() { _ = s.healthChecks.Serve(listener) }) // until close
 	s.running.Go(func() {
 		for {
 			s.sendHeartbeat()
@@ -53,10 +62,29 @@
 			}
 		}
 	})
+	return nil
 }
 
+// answerHealthCheck says which instance is up, unless it is draining.
+func (s *fakeServer) answerHealthCheck(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set("Instance-Id", s.instanceID())
+	if s.draining {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// instanceID returns the ID of the current instance. The caller holds mu.
+func (s *fakeServer) instanceID() string { return fmt.Sprintf("i-%s-%d", s.node, s.instance) }
+
 // close ends the server without a word to its sidecar, as a crash does. It may be called again.
-func (s *fakeServer) close() { s.closeOnce.Do(func() { close(s.stop) }) }
+func (s *fakeServer) close() {
+	s.closeOnce.Do(func() {
+		close(s.stop)
+		_ = s.healthChecks.Close() // it only fails to close its listener a second time
+	})
+}
 
 // wait returns once a closed server sends nothing more.
 func (s *fakeServer) wait() { s.running.Wait() }
@@ -102,7 +130,7 @@
 	if s.draining {
 		state = "draining"
 	}
-	return fmt.Sprintf("i-%s-%d", s.node, s.instance), sidecar.Heartbeat{
+	return s.instanceID(), sidecar.Heartbeat{
 		Address: s.address,
 		SystemInfo: sidecar.SystemInfo{
 			Service:       s.service,
--- a/internal/mesh/scale/fleet_start.go
+++ b/internal/mesh/scale/fleet_start.go
@@ -18,10 +18,11 @@
 	subnets            = 256              // of a /16; their numbers wrap round
 )
 
-// Ports of a sidecar that nothing listens at: other sidecars know it, and its server, by them.
 const (
+	// inboundPort is a port of a sidecar that nothing listens at: other sidecars know it by that.
 	inboundPort = "1"
-	serverPort  = "2"
+	// serverPort is the port at which a sidecar's server answers health checks.
+	serverPort = "8002"
 )
 
 // startSidecars starts all sidecars, and waits until each knows all others.
@@ -81,7 +82,9 @@
 		}
 	}
 	for _, set := range full {
-		f.startServer(set)
+		if err := f.startServer(set); err != nil {
+			return err
+		}
 	}
 	return f.awaitSidecars()
 }
@@ -122,7 +125,7 @@
 }
 
 // startServer starts the server beside a sidecar.
-func (f *fleet) startServer(set settings.Settings) {
+func (f *fleet) startServer(set settings.Settings) error {
 	host, _, _ := net.SplitHostPort(set.ListenAddrs.ControlPlane)
 	s := &fakeServer{
 		sidecarAddress: set.ListenAddrs.Inbound,
@@ -135,8 +138,11 @@
 		node:           set.NodeName,
 	}
 	s.interval.Store(int64(seconds(f.experiment.HeartbeatS)))
-	s.start()
+	if err := s.start(); err != nil {
+		return err
+	}
 	f.servers = append(f.servers, s)
+	return nil
 }
 
 // awaitSidecars waits until all sidecars have their configuration, and the full ones know all that were started.
--- a/internal/mesh/sidecar/call_chain_test.go
+++ b/internal/mesh/sidecar/call_chain_test.go
@@ -147,6 +147,7 @@
 	}
 	l, err := New(set, zerolog.Nop(), discardRing())
 	assert.NilError(x.t, err)
+	l.localServer.instances.startedAt = time.Time{} // it believes heartbeats, as a sidecar that was started long ago
 	return l
 }
 
--- a/internal/mesh/sidecar/local_server_confirmation.go
+++ b/internal/mesh/sidecar/local_server_confirmation.go
@@ -2,8 +2,11 @@
 
 import "time"
 
-// reasonUnconfirmed is why a server takes no requests while its heartbeat is held.
-const reasonUnconfirmed = "it has not passed a health check since the sidecar's start"
+// Why a server takes no requests while its heartbeat is held.
+const (
+	reasonUnconfirmed   = "it has not passed a health check since the sidecar's start"
+	reasonNoHealthCheck = "it has no health check, and its heartbeat may be from before the sidecar's start"
+)
 
 // heldHeartbeat is the latest heartbeat of an instance that may have left before the sidecar started. It is applied once
 // the instance passes a health check. It is dropped if the instance deregisters, another one becomes the current one, or
@@ -14,22 +17,22 @@
 	receivedAt time.Time
 }
 
-// hold holds a heartbeat, and starts a health check of its instance. If the service has no health checks, the heartbeat
-// is applied. The caller holds mu.
+// hold holds a heartbeat, and starts a health check of its instance. If the service has no health checks, nothing confirms
+// the heartbeat, and the instance waits for the first one that comes maxHeartbeatDelay after the sidecar's start. The caller
+// holds mu.
 func (s *localServer) hold(id string, heartbeat Heartbeat) {
-	if path, known := s.healthPath(); known && path == "" {
-		if s.instances.confirm(id, time.Now()) {
-			s.applyHeartbeat(heartbeatOfSuccessor, id, heartbeat)
-		}
-		return
+	path, known := s.healthPath()
+	reason := reasonUnconfirmed
+	if known && path == "" {
+		reason = reasonNoHealthCheck
 	}
 	if s.held == nil || s.held.id != id {
-		s.env.log.Info().Str("server_id", id).Int64("call_seq", heartbeat.OperStatus.CallSeq).
-			Msg("heartbeat held until the server passes a health check")
+		s.env.log.Info().Str("server_id", id).Int64("call_seq", heartbeat.OperStatus.CallSeq).Str("reason", reason).
+			Msg("heartbeat held until the server is confirmed")
 	}
 	s.held = &heldHeartbeat{id: id, heartbeat: heartbeat, receivedAt: time.Now()}
 	if s.endpoint == nil {
-		s.unavailableReason = reasonUnconfirmed
+		s.unavailableReason = reason
 	}
 	s.startConfirmation()
 }
@@ -67,7 +70,7 @@
 }
 
 // healthCheckKnown is called when the configuration was confirmed for the first time, so that the path of the server's
-// health check is known. It applies a held heartbeat if there are no health checks, and otherwise probes the server.
+// health check is known. It checks the server of a held heartbeat, and otherwise probes the server.
 func (s *localServer) healthCheckKnown() {
 	path, _ := s.healthPath()
 	s.mu.Lock()
--- a/internal/mesh/sidecar/local_server_confirmation_test.go
+++ b/internal/mesh/sidecar/local_server_confirmation_test.go
@@ -81,6 +81,43 @@
 	after.assertRecord(t, "", directory.ServerNone)
 }
 
+// Guards against requests to a server that left right after its start. The sidecar that acknowledged that had restarted, and took a late heartbeat among
+// the first of the server for the start of a new one, which needed no health check.
+func TestYoungDeregisteredServerStaysOutAfterSidecarRestart(t *testing.T) {
+	for callSeq := 1; callSeq <= maxFirstCallSeq+1; callSeq++ {
+		t.Run(fmt.Sprint("late heartbeat ", callSeq), func(t *testing.T) {
+			server := startCheckedServer(t, "i-1", http.StatusOK)
+			before := startCheckingSidecar(t)
+			server.health.Store(http.StatusServiceUnavailable) // it is leaving
+			assert.Equal(t, before.postCall(t, "i-1/deregister", ""), http.StatusOK)
+
+			after := startCheckingSidecar(t)
+			server.checks.Store(0)
+			server.beat(t, after, callSeq)
+			await(t, func() bool { return server.checks.Load() > 0 || after.record().ServerID != "" })
+			await(t, func() bool { return !after.confirmationRuns.Load() })
+			after.assertRecord(t, "", directory.ServerNone)
+		})
+	}
+}
+
+// Guards against requests to a server that has left, of a service without a health check: right after the sidecar's start nothing tells a late heartbeat
+// from another one. A heartbeat that comes later is believed.
+func TestServerWithoutHealthCheckWaitsAfterSidecarStart(t *testing.T) {
+	s := newRestartedLocalServer(t)
+	for callSeq, id := range []string{"i-1", "i-1", "i-2", "i-2"} {
+		s.postHeartbeat(t, id, "ready", callSeq+1)
+		s.checkHeartbeat(false)
+		s.assertRecord(t, "", directory.ServerNone)
+	}
+	assert.Equal(t, s.status().unavailableReason, reasonNoHealthCheck)
+	s.mu.Lock()
+	s.instances.startedAt = s.instances.startedAt.Add(-maxHeartbeatDelay)
+	s.mu.Unlock()
+	s.postHeartbeat(t, "i-2", "ready", 5)
+	s.assertRecord(t, "i-2", directory.ServerReady)
+}
+
 // After a restart of the sidecar, a running server is ready as soon as it passes a health check, also if the first ones were turned away.
 func TestRunningServerIsReadyAfterSidecarRestart(t *testing.T) {
 	for _, first := range []int{http.StatusOK, http.StatusServiceUnavailable} {
@@ -142,8 +179,8 @@
 	assert.Assert(t, s.held == nil)
 }
 
-// While the memory of the tracker may lack an instance that has left, a heartbeat alone makes no other instance the current one, unless it has just
-// started. Later it does, since no heartbeat is so late.
+// While the memory of the tracker may lack an instance that has left, a heartbeat alone makes no other instance the current one, also none that seems to
+// have just started. Later it does, since no heartbeat is so late.
 func TestHeartbeatAfterStartNeedsConfirmation(t *testing.T) {
 	const interval = time.Second
 	start := time.Unix(1000, 0)
@@ -151,7 +188,9 @@
 	tracker.startedAt = start
 	assert.Equal(t, tracker.heartbeat("a", 900, start, interval), heartbeatUnconfirmed)
 	assert.Equal(t, tracker.current, "")
-	assert.Equal(t, tracker.heartbeat("b", 2, start, interval), heartbeatOfSuccessor)
+	assert.Equal(t, tracker.heartbeat("b", 2, start, interval), heartbeatUnconfirmed)
+	assert.Equal(t, tracker.current, "")
+	assert.Assert(t, tracker.confirm("b", start))
 	silent := start.Add(maxHeartbeatDelay - time.Millisecond)
 	assert.Equal(t, tracker.heartbeat("a", 901, silent, interval), heartbeatUnconfirmed)
 	assert.Equal(t, tracker.current, "b")
@@ -159,7 +198,9 @@
 	assert.Equal(t, tracker.heartbeat("a", 902, silent, interval), heartbeatOfCurrent)
 	assert.Assert(t, tracker.deregister("a"))
 	assert.Assert(t, !tracker.confirm("a", silent))
+	assert.Equal(t, tracker.heartbeat("d", 1, silent, interval), heartbeatUnconfirmed)
 	assert.Equal(t, tracker.heartbeat("c", 900, start.Add(maxHeartbeatDelay), interval), heartbeatOfSuccessor)
+	assert.Equal(t, tracker.heartbeat("e", 1, start.Add(maxHeartbeatDelay), interval), heartbeatOfSuccessor)
 }
 
 // Guards against forgetting that an instance has just deregistered because many have started before it.
--- a/internal/mesh/sidecar/local_server_instances.go
+++ b/internal/mesh/sidecar/local_server_instances.go
@@ -51,7 +51,8 @@
 //
 // An instance that has announced that it leaves must get no requests even if the sidecar has restarted since. So for
 // maxHeartbeatDelay after the start, while a heartbeat may be older than that, a heartbeat alone makes no other instance
-// the current one, unless the instance has just started: it needs a health check, which fails once a server is leaving.
+// the current one: it needs a health check, which fails once a server is leaving. That holds for the first calls of an
+// instance as well, since it may have left right after them.
 type instanceTracker struct {
 	startedAt     time.Time // of the memory; the zero time stands for one that is complete
 	current       string    // instance ID; empty if no server is known
@@ -81,10 +82,7 @@
 	case id == t.current:
 		t.setCurrent(id, now)
 		return heartbeatOfCurrent
-	case !known && callSeq <= maxFirstCallSeq:
-		t.setCurrent(id, now)
-		return heartbeatOfSuccessor
-	case t.current == "", t.isSilent(now, interval), t.considerCandidate(id, now, interval):
+	case !known && callSeq <= maxFirstCallSeq, t.current == "", t.isSilent(now, interval), t.considerCandidate(id, now, interval):
 		if now.Sub(t.startedAt) < maxHeartbeatDelay {
 			return heartbeatUnconfirmed
 		}
--- a/internal/mesh/sidecar/local_server_test.go
+++ b/internal/mesh/sidecar/local_server_test.go
@@ -16,9 +16,17 @@
 // maxAcknowledgementBytes is the largest acknowledgement that a server accepts.
 const maxAcknowledgementBytes = 4 << 10
 
-// newTestLocalServer returns the localServer of a new sidecar that has not received any heartbeat. The configuration is confirmed, and has no health
-// checks for its service.
+// newTestLocalServer returns the localServer of a sidecar that was started long ago and has not received any heartbeat. The configuration is confirmed,
+// and has no health checks for its service.
 func newTestLocalServer(t *testing.T) *localServer {
+	t.Helper()
+	s := newRestartedLocalServer(t)
+	s.instances.startedAt = time.Time{}
+	return s
+}
+
+// newRestartedLocalServer is newTestLocalServer for a sidecar that has just been started.
+func newRestartedLocalServer(t *testing.T) *localServer {
 	t.Helper()
 	s, _, _ := newFollowingSidecar(t)
 	s.configurationConfirmed()
@@ -60,7 +68,8 @@
 }
 
 // The calls of a server may arrive in any order. An overtaken heartbeat changes nothing, a draining server does not become ready again, and heartbeats
-// after the server has deregistered are ignored. The same applies if the sidecar restarts in between, except that it forgets the calls before.
+// after the server has deregistered are ignored. The same applies if the sidecar restarts in between, except that it forgets the calls before; right after
+// the restart it believes no call, since one that comes late may have been sent before the server deregistered.
 func TestHeartbeatsInAllOrders(t *testing.T) {
 	t.Parallel()
 	type call struct {
@@ -73,12 +82,16 @@
 	permute = func(done, left []call) {
 		if len(left) == 0 {
 			orders++
-			for restart := range len(done) {
+			for variant := range 2 * len(done) {
+				restart, isRecent := variant/2, variant%2 == 1
 				o := newTestLocalServer(t)
-				highest, gone := 0, false
+				highest, gone, restarted := 0, false, false
 				for n, c := range done {
 					if n == restart && n > 0 {
-						o, highest, gone = newTestLocalServer(t), 0, false
+						o, highest, gone, restarted = newTestLocalServer(t), 0, false, true
+						if isRecent {
+							o = newRestartedLocalServer(t)
+						}
 					}
 					if c.state == "left" {
 						assert.Equal(t, o.postCall(t, c.id+"/deregister", ""), http.StatusOK)
@@ -89,12 +102,12 @@
 					}
 					want := directory.ServerReady
 					switch {
-					case gone || highest == 0:
+					case gone || highest == 0 || restarted && isRecent:
 						want = directory.ServerNone
 					case highest == 3:
 						want = directory.ServerDraining
 					}
-					assert.Equal(t, o.record().State, want, "%v, restarted before %d, after %d", done, restart, n)
+					assert.Equal(t, o.record().State, want, "%v, restarted before %d (recently: %t), after %d", done, restart, isRecent, n)
 				}
 			}
 			return
