wire, registry: times out of bounds mean the same on every processor

Seen: TestConfigErrorNamesTheField/Classes[0].Aim fails on arm64, 20 of 20 on the code before, where a latency target of 1e300 ms was accepted; on amd64 it is refused.

Cause: Go leaves open what the conversion of a number that is too large for its type gives. It is a negative time on amd64, which no setting accepts, and the longest one on arm64. In the same way a server's boot_ms of 1e300 was long ago or in the far future, from which the server never counted as warm.

Change: fromMilliseconds gives a negative time itself, and a start time out of bounds counts as long ago. By reading, the other conversions of given times are bounded.

--- a/internal/source/registry/list.go
+++ b/internal/source/registry/list.go
@@ -97,6 +97,17 @@
 		Cell:      t.Cell,
 		State:     serverStates[t.State],
 		Size:      t.Size,
-		StartedAt: time.Duration(t.BootMS * float64(time.Millisecond)),
+		StartedAt: t.startedAt(),
 	}
 }
+
+// maxBootMS is the limit of a start time, in milliseconds: in the year 2096.
+const maxBootMS = 4e12
+
+// startedAt converts the time of the last start. A time out of bounds counts as long ago.
+func (t Target) startedAt() time.Duration {
+	if !(t.BootMS >= 0 && t.BootMS < maxBootMS) {
+		return 0
+	}
+	return time.Duration(t.BootMS * float64(time.Millisecond))
+}
--- a/internal/source/registry/source_test.go
+++ b/internal/source/registry/source_test.go
@@ -104,6 +104,12 @@
 	if s := (Target{}).server(); s.StartedAt != 0 {
 		t.Errorf("a start long ago is %v", s.StartedAt)
 	}
+	// On some processors a time out of bounds was one in the far future, from which the server never counted as warm.
+	for _, ms := range []float64{-1, maxBootMS, 1e300} {
+		if s := (Target{BootMS: ms}).server(); s.StartedAt != 0 {
+			t.Errorf("a start at %g ms is %v", ms, s.StartedAt)
+		}
+	}
 }
 
 func TestParseListRejectsMalformedMessages(t *testing.T) {
--- a/internal/wire/fields.go
+++ b/internal/wire/fields.go
@@ -163,7 +163,15 @@
 	return v, nil
 }
 
+// outOfBounds stands for a time that is too long. No setting accepts a negative time.
+const outOfBounds time.Duration = math.MinInt64
+
+// fromMilliseconds converts a time, or returns outOfBounds: what Go makes of a number that is too large for its type depends on
+// the processor.
 func fromMilliseconds(v float64) time.Duration {
+	if math.IsNaN(v) || math.Abs(v) > maxNumber {
+		return outOfBounds
+	}
 	return time.Duration(math.Round(v * float64(time.Millisecond)))
 }
 
