--- a/internal/front/http1/connections.go
+++ b/internal/front/http1/connections.go
@@ -94,8 +94,12 @@
 }
 
 // closeLeastUseful closes a connection that may be closed at the limit; false if there is none. A share keeps its minimum:
-// only those that have borrowed lose one. Connections without a request go first, then the one stalled for longest.
+// only those that have borrowed lose one. Lingering connections whose answer has arrived go first, then those without a
+// request, then the one stalled for longest.
 func (l *connections) closeLeastUseful() bool {
+	if l.closeAcknowledged() {
+		return true
+	}
 	var best *connection
 	var most int64
 	for s, quiet := range l.quiet {
