--- a/internal/mesh/testcluster/fakeapp.go
+++ b/internal/mesh/testcluster/fakeapp.go
@@ -39,6 +39,7 @@
 	serviceTime  atomic.Int64 // ns
 	broken       atomic.Bool  // it closes connections instead of answering
 	holdUntil    atomic.Int64 // number of requests that must run at once before any is answered
+	onRun        atomic.Pointer[func(attempt string)]
 }
 
 // newFakeApp starts a server.
@@ -74,6 +75,9 @@
 // HoldUntilConcurrent delays all answers until n requests run at the same time.
 func (a *FakeApp) HoldUntilConcurrent(requests int) { a.holdUntil.Store(int64(requests)) }
 
+// OnRun has f called at the beginning of each further run, on the goroutine of the request.
+func (a *FakeApp) OnRun(f func(attempt string)) { a.onRun.Store(&f) }
+
 // Drain announces the server's shutdown to the sidecar, and reports whether that was acknowledged.
 func (a *FakeApp) Drain() (acknowledged bool) {
 	a.state.Store(appDraining)
@@ -92,13 +96,15 @@
 }
 
 // sendHeartbeat sends one heartbeat, and reports whether it was acknowledged.
-func (a *FakeApp) sendHeartbeat() (acknowledged bool) {
-	body := EncodeCall(map[string]any{
+func (a *FakeApp) sendHeartbeat() (acknowledged bool) { return a.call("heartbeat", a.nextHeartbeat()) }
+
+// nextHeartbeat returns the body of the next heartbeat.
+func (a *FakeApp) nextHeartbeat() []byte {
+	return EncodeCall(map[string]any{
 		"Address":    a.Addr,
 		"SystemInfo": map[string]any{"Service": a.Service, "ConfigVersion": "v1", "Zone": a.zone, "SlotCount": appSlots},
 		"OperStatus": map[string]any{"State": a.state.Load(), "CallSeq": a.heartbeatSeq.Add(1), "WarmupLeftS": 0},
 	})
-	return a.call("heartbeat", body)
 }
 
 // call makes a call to the sidecar, and reports whether it was acknowledged.
@@ -158,6 +164,9 @@
 		return
 	}
 	a.recorder.recordRun(attempt, r.Header.Get("Operation-Key"), a.Instance)
+	if onRun := a.onRun.Load(); onRun != nil {
+		(*onRun)(attempt)
+	}
 	time.Sleep(time.Duration(a.serviceTime.Load()))
 	for ; a.inFlight.Load() < a.holdUntil.Load(); time.Sleep(time.Millisecond) {
 		if r.Context().Err() != nil {
--- a/internal/mesh/testcluster/soak_callers_test.go
+++ b/internal/mesh/testcluster/soak_callers_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -27,6 +28,7 @@
 	soakRedialTime = 20 * time.Millisecond      // pause after a dial that has failed
 	soakBodyBytes  = 300_000                    // of a streamed response
 	soakWorkTime   = 200 * time.Millisecond     // maximum run time of a server's request
+	soakSlowBuffer = 4 << 10                    // receive buffer of a caller that receives slowly, in bytes
 	callersPerKind = 1                          // at each sidecar
 )
 
@@ -34,13 +36,14 @@
 type soakCallKind int
 
 const (
-	soakRead     soakCallKind = iota // idempotent
-	soakMove                         // idempotent, on the route that moves
-	soakOnce                         // may run once
-	soakKeyed                        // repeated through another sidecar
-	soakStream                       // a long response
-	soakPipeline                     // several reads, in pieces
-	soakLeave                        // the caller closes the connection before the answer, or while it comes
+	soakRead         soakCallKind = iota // idempotent
+	soakMove                             // idempotent, on the route that moves
+	soakOnce                             // may run once
+	soakKeyed                            // repeated through another sidecar
+	soakStream                           // a long response
+	soakPipeline                         // several reads, in pieces
+	soakLeave                            // the caller closes the connection before the answer, or while it comes
+	soakSlowPipeline                     // several reads with long answers, which the caller receives slowly
 	soakCallKindCount
 )
 
@@ -52,6 +55,7 @@
 	waited  time.Duration // from the call's last byte to the answer, or to the connection's end; 0 behind another call
 	left    bool          // the caller has left by itself
 	late    bool          // the connection stayed open, and no answer came in soakPatience
+	failure error         // why there is no complete answer
 }
 
 // soakLossSlack is LossSlackS: a connection that ends sooner after a call may not have been read.
@@ -103,7 +107,7 @@
 		case a.planned && call.late:
 			found = append(found, fmt.Sprintf("LOST: %s has no answer after %v, ran at %v", call.attempt, soakPatience, runs))
 		case a.planned && call.status == 0 && !call.left && len(runs) > 0:
-			found = append(found, fmt.Sprintf("LOST: %s has no answer, ran at %v", call.attempt, runs))
+			found = append(found, fmt.Sprintf("LOST: %s has no answer, ran at %v: %v", call.attempt, runs, call.failure))
 		case a.planned && call.status == 0 && !call.left && call.waited > soakLossSlack:
 			found = append(found, fmt.Sprintf("LOST: %s has no answer after %v, and has not run", call.attempt, call.waited))
 		case a.planned && isBrokenOff(call.status) && len(runs) > 0:
@@ -171,7 +175,7 @@
 		}
 		c.at.app.Load().SetServiceTime(time.Duration(c.random.Int64N(int64(soakWorkTime))))
 		switch c.kind {
-		case soakPipeline:
+		case soakPipeline, soakSlowPipeline:
 			c.pipeline()
 		case soakLeave:
 			c.leave()
@@ -185,7 +189,11 @@
 }
 
 func (c *soakCaller) dial() bool {
-	conn, err := net.Dial("tcp", c.at.Addr("Outbound"))
+	var dialer net.Dialer
+	if c.kind == soakSlowPipeline {
+		dialer.Control = limitReceiveBuffer
+	}
+	conn, err := dialer.Dial("tcp", c.at.Addr("Outbound"))
 	if err != nil {
 		return false
 	}
@@ -194,6 +202,14 @@
 	return true
 }
 
+// limitReceiveBuffer has a socket receive little ahead of its reader, so that most of a long answer waits at the sender.
+func limitReceiveBuffer(_, _ string, raw syscall.RawConn) (err error) {
+	controlErr := raw.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, soakSlowBuffer)
+	})
+	return errors.Join(controlErr, err)
+}
+
 func (c *soakCaller) close() {
 	if c.conn != nil {
 		c.conn.Close()
@@ -212,6 +228,7 @@
 	target := map[soakCallKind]string{
 		soakRead: "GET /read/", soakMove: "GET /move/", soakOnce: "POST /once/", soakKeyed: "POST /send/",
 		soakStream: fmt.Sprintf("GET /read/?bytes=%d", soakBodyBytes), soakPipeline: "GET /read/", soakLeave: "GET /read/",
+		soakSlowPipeline: fmt.Sprintf("GET /read/?bytes=%d", soakBodyBytes),
 	}[c.kind]
 	head := fmt.Sprintf("%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Budget: %d\r\n", target, Host, attempt, soakBudget.Milliseconds())
 	if key != "" {
@@ -232,15 +249,16 @@
 		c.close()
 	} else {
 		written := time.Now()
-		call.status, call.late = c.readAnswer(attempt, key)
+		c.readAnswer(&call, key)
 		call.waited = time.Since(written)
 	}
 	c.soak.audit.add(call)
 	return call.status
 }
 
-// readAnswer reads one answer. It closes the connection if the answer does, or if there is none.
-func (c *soakCaller) readAnswer(attempt, key string) (status int, late bool) {
+// readAnswer reads the answer of a call. It closes the connection if the answer does, or if there is none.
+func (c *soakCaller) readAnswer(call *soakCall, key string) {
+	began := time.Now()
 	response, err := http.ReadResponse(c.reader, nil)
 	var text []byte
 	if err == nil {
@@ -248,17 +266,19 @@
 	}
 	if err != nil {
 		c.close()
-		return 0, errors.Is(err, os.ErrDeadlineExceeded)
+		call.failure = fmt.Errorf("%w after %v and %d bytes of the body", err, time.Since(began), len(text))
+		call.late = errors.Is(err, os.ErrDeadlineExceeded)
+		return
 	}
-	sent := Response{Attempt: attempt, Status: response.StatusCode, Seal: response.Header.Get("Server-Seal"), Body: string(text)}
+	call.status = response.StatusCode
+	sent := Response{Attempt: call.attempt, Status: response.StatusCode, Seal: response.Header.Get("Server-Seal"), Body: string(text)}
 	c.soak.Recorder.checkResponse(sent, key, response.Header.Get("Attempt-Id"))
-	if c.kind == soakStream && response.StatusCode == http.StatusOK && len(text) < soakBodyBytes {
-		c.soak.audit.violation("MIXED: %s has %d bytes", attempt, len(text))
+	if (c.kind == soakStream || c.kind == soakSlowPipeline) && response.StatusCode == http.StatusOK && len(text) < soakBodyBytes {
+		c.soak.audit.violation("MIXED: %s has %d bytes", call.attempt, len(text))
 	}
 	if response.Close {
 		c.close()
 	}
-	return response.StatusCode, false
 }
 
 // keyed makes a call with a key of its own, and repeats it through any sidecar, also after it was answered.
@@ -290,7 +310,7 @@
 		if c.conn == nil {
 			break // an answer has closed the connection: what came behind it counts as not read
 		}
-		calls[n].status, calls[n].late = c.readAnswer(calls[n].attempt, "")
+		c.readAnswer(&calls[n], "")
 	}
 	for _, call := range calls[:written] {
 		c.soak.audit.add(call)
--- a/internal/mesh/testcluster/soak_plan_test.go
+++ b/internal/mesh/testcluster/soak_plan_test.go
@@ -1,9 +1,11 @@
 package testcluster
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -84,15 +86,17 @@
 	pauseMember
 	killAllMembers
 	crashServer
+	departServer // planned, and drawn apart: see planDepartures
 
 	firstUnplanned = killSidecar
 )
 
+// soakActionCount is how many actions planSoak draws from.
 const soakActionCount = int(crashServer) + 1
 
 var soakActionNames = [...]string{
 	"terminate sidecar", "reload sidecar", "change route", "drain server", "terminate member", "reload member",
-	"kill sidecar", "pause sidecar", "kill member", "pause member", "kill all members", "crash server",
+	"kill sidecar", "pause sidecar", "kill member", "pause member", "kill all members", "crash server", "depart server",
 }
 
 func (a soakAction) String() string { return soakActionNames[a] }
@@ -143,12 +147,40 @@
 	return events
 }
 
+// soakDepartureInterval is the mean time between two departures of servers.
+const soakDepartureInterval = 4 * time.Second
+
+// planDepartures returns the departures of servers of a seed in order. Some have a kill of the sidecar beside the server soon after, if the seed plays
+// unplanned actions.
+func planDepartures(seed uint64, duration time.Duration) (events []soakEvent) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	for at := time.Duration(0); at < duration; at += soakDepartureInterval/2 + time.Duration(random.Int64N(int64(soakDepartureInterval))) {
+		departure := soakEvent{
+			at: at, action: departServer, target: random.IntN(1 << 10), pause: time.Duration(random.Int64N(int64(maxSoakPause))),
+		}
+		events = append(events, departure)
+		for _, delay := range []time.Duration{0, soakServeOnTime + soakYoungAge} { // behind either departure of the two
+			kill := soakEvent{at: at + delay + time.Duration(random.Int64N(int64(maxSoakPause))), action: killSidecar, target: departure.target}
+			if !isPlannedSoak(seed) && random.IntN(2) == 0 {
+				events = append(events, kill)
+			}
+		}
+	}
+	slices.SortStableFunc(events, func(a, b soakEvent) int { return cmp.Compare(a.at, b.at) })
+	return events
+}
+
 // A seed always has the same plan, and planned seeds have no unplanned action.
 func TestSoakPlan(t *testing.T) {
 	seen := map[soakAction]bool{}
 	for seed := range uint64(40) {
 		events := planSoak(seed, time.Minute)
 		assert.DeepEqual(t, fmt.Sprint(events), fmt.Sprint(planSoak(seed, time.Minute)))
+		departures := planDepartures(seed, time.Minute)
+		assert.DeepEqual(t, fmt.Sprint(departures), fmt.Sprint(planDepartures(seed, time.Minute)))
+		for _, event := range departures {
+			assert.Assert(t, event.action == departServer || !isPlannedSoak(seed), "seed %d: %v", seed, event)
+		}
 		for _, event := range events {
 			seen[event.action] = true
 			assert.Assert(t, event.action < firstUnplanned || !isPlannedSoak(seed), "seed %d: %v", seed, event)
--- a/internal/mesh/testcluster/soak_test.go
+++ b/internal/mesh/testcluster/soak_test.go
@@ -35,6 +35,7 @@
 	restarting sync.Mutex // held while the process is ended and started, and while a server is started, which reads the settings
 	replacing  sync.Mutex // held while the server is replaced
 	running    atomic.Pointer[testfleet.Process]
+	startedAt  atomic.Int64 // Unix time in ns at which its process was started again; 0: never
 	app        atomic.Pointer[FakeApp]
 }
 
@@ -90,7 +91,10 @@
 	}
 	s.startCallers()
 	events := planSoak(seed, options.duration)
+	departures := planDepartures(seed, options.duration)
+	s.actions.Go(func() { s.play(departures) })
 	s.play(events)
+	s.actions.Wait()
 	s.stopping.Store(true)
 	s.callers.Wait()
 	s.checkRecovery()
@@ -99,7 +103,7 @@
 	s.checkRest()
 	t.Logf("seed %d: %d events, %v", seed, len(events), &s.audit)
 	if t.Failed() {
-		t.Logf("plan: %v", events)
+		t.Logf("plan: %v, departures: %v", events, departures)
 	}
 }
 
@@ -110,14 +114,13 @@
 	return machine
 }
 
-// play performs the events, each on a goroutine of its own, and waits for their ends.
+// play performs the events, each on a goroutine of its own. It returns after the start of the last one.
 func (s *soak) play(events []soakEvent) {
 	began := time.Now()
 	for _, event := range events {
 		time.Sleep(event.at - time.Since(began))
 		s.actions.Go(func() { s.perform(event) })
 	}
-	s.actions.Wait()
 }
 
 func (s *soak) perform(event soakEvent) {
@@ -150,6 +153,8 @@
 		}
 	case crashServer:
 		s.replaceServer(sidecar, func(app *FakeApp) { app.Crash() })
+	case departServer:
+		s.departServer(sidecar, event)
 	}
 }
 
@@ -204,6 +209,7 @@
 	for range soakStartTries {
 		if err = x.Start(); err == nil {
 			x.running.Store(x.Process)
+			x.startedAt.Store(time.Now().UnixNano())
 			return
 		}
 	}
