front: reads of a connection that was closed fail as net/http expects

A read that fails with another error has net/http write a 400 to the connection, whose own side is ended: no harm, but an error for nothing.

--- a/internal/front/http1/connection.go
+++ b/internal/front/http1/connection.go
@@ -92,7 +92,8 @@
 		n, err = c.readOnce(p)
 	}
 	if c.lingering.Load() {
-		return 0, net.ErrClosed // it was closed while net/http waited for the next request
+		// It was closed while net/http waited for the next request. net/http answers no read that fails with an OpError.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
 	}
 	if n > 0 && c.owner.scanHeads {
 		c.head.take(p[:n])
