sidecar: no call is given up before the last sixth of a short grace period

Cause: the reserves at the end of the grace period were fixed, 0.7 s and 0.3 s before it.

Change: newShutdownLimits gives both from the grace period, at most what they were. Giving up has a timer of its own, since ticks are 0.1 s apart. Nothing changes for a GraceS of 6 and of 10 (TestShutdownReservesAreBounded).

Ruled out: a shorter fixed reserve, which is too long for an even shorter GraceS.

--- a/internal/mesh/sidecar/outbound_listener.go
+++ b/internal/mesh/sidecar/outbound_listener.go
@@ -20,9 +20,6 @@
 	connectionDrainTime = 2300 * time.Millisecond
 	// idleDrainDelay is the time after the beginning of the drain from which idle connections are closed.
 	idleDrainDelay = time.Second
-	// blockedRequestCutoff is the time before the shutdown deadline at which the sidecar abandons requests that wait for
-	// a server, and requests that block the responses to later ones on their connection.
-	blockedRequestCutoff = 300 * time.Millisecond
 	// drainInterval is how often open requests and connections are checked during the shutdown.
 	drainInterval = 100 * time.Millisecond
 
@@ -92,9 +89,12 @@
 }
 
 // finish waits until no connection is open or ctx ends, checking at each tick, and then closes the listener. From
-// blockedRequestCutoff before the deadline of ctx it calls abandonWaiting at each tick, which has to answer the requests
-// that wait for a server: otherwise their connections would end with the process, without a response.
-func (o *outboundListener) finish(ctx context.Context, tick <-chan time.Time, abandonWaiting func()) {
+// abandonAt on it calls abandonWaiting at each tick, which has to answer the requests that wait for a server: otherwise
+// their connections would end with the process, without a response. It also abandons requests that block the responses to
+// later ones on their connection.
+func (o *outboundListener) finish(
+	ctx context.Context, abandonAt time.Time, tick <-chan time.Time, abandonWaiting func(),
+) {
 	f := o.front.Load()
 	if f == nil {
 		return
@@ -102,18 +102,22 @@
 	// Shutdown is called last because it closes a connection after the response that is being written, and so drops the
 	// responses to pipelined requests.
 	f.HandOverListener()
-	deadline, _ := ctx.Deadline()
+	abandon := time.NewTimer(time.Until(abandonAt))
+	defer abandon.Stop()
 	pipelinesAbandoned := false
 	for f.OpenConnections() > 0 && ctx.Err() == nil {
 		f.CloseIdleIfDraining() //nolint:contextcheck // ctx only bounds the wait
-		if time.Until(deadline) < blockedRequestCutoff {
+		if !time.Now().Before(abandonAt) {
 			abandonWaiting()
 			if !pipelinesAbandoned {
 				pipelinesAbandoned = true
 				f.AbandonBlockedPipelines()
 			}
 		}
-		<-tick
+		select {
+		case <-tick:
+		case <-abandon.C:
+		}
 	}
 	_ = f.Shutdown(ctx) // connections that are still open end with the process
 	o.serving.Wait()
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -16,10 +16,6 @@
 	sender "cranegrade/internal/sender/http1"
 )
 
-// shutdownReserve is the part of the grace period that is reserved for closing connections and listeners after
-// requests have been finished.
-const shutdownReserve = 700 * time.Millisecond
-
 // Sidecar is one sidecar. New and Run are each called once.
 type Sidecar struct {
 	env       *environment
@@ -219,7 +215,8 @@
 func (s *Sidecar) shutdown() {
 	began := time.Now()
 	grace := s.env.settings.Load().Bounds.GraceS.Duration()
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(max(grace-shutdownReserve, grace/2)))
+	limits := newShutdownLimits(grace)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limits.requests))
 	defer cancel()
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
@@ -230,7 +227,7 @@
 	s.localServer.announceLeaving()
 	<-ticker.C // other sidecars learn that this one is leaving before it rejects their requests
 	s.inbound.draining.Store(true)
-	s.finishRequests(ctx, ticker.C)
+	s.finishRequests(ctx, began.Add(limits.blockedRequests), ticker.C)
 	s.inbound.finishConns(ctx)
 	s.controlPlane.close()
 	s.upstreams.close()
@@ -251,9 +248,10 @@
 	}
 }
 
-// finishRequests waits until callers and other sidecars have received their responses, or until ctx ends.
-func (s *Sidecar) finishRequests(ctx context.Context, tick <-chan time.Time) {
-	s.outbound.finish(ctx, tick, s.pools.abandonWaiting)
+// finishRequests waits until callers and other sidecars have received their responses, or until ctx ends. From abandonAt
+// on it gives up requests that wait, or that block others.
+func (s *Sidecar) finishRequests(ctx context.Context, abandonAt time.Time, tick <-chan time.Time) {
+	s.outbound.finish(ctx, abandonAt, tick, s.pools.abandonWaiting)
 	for s.inbound.openRequests.Load() > 0 && ctx.Err() == nil {
 		<-tick
 	}
