sidecar: responses that wait for their peer to read are sent whole at a shutdown

Cause: the caller had pipelined the call behind one that waited for a server, so its sidecar could not write the answer, and the window between the sidecars stayed full. The shutdown waited for that until its limit and ended with the rest of the answer.

Ruled out: trying the call again elsewhere (its answer has begun, and the bytes that have come would have to be dropped); a larger window at all times (memory).

--- a/internal/mesh/sidecar/call_chain_test.go
+++ b/internal/mesh/sidecar/call_chain_test.go
@@ -64,6 +64,7 @@
 	near           *Sidecar
 	terminateNear  func() // begins the shutdown of near
 	far            []*Sidecar
+	terminateFar   []func() // begin the shutdown of each
 	fakeServers    []*fakeServer
 	upstreamRelays []*relay // between near and each far sidecar
 	serverRelays   []*relay // between each far sidecar and its server
@@ -98,7 +99,7 @@
 			Address: s.addr, SystemInfo: SystemInfo{Service: "stock", SlotCount: 256},
 			OperStatus: OperationalStatus{State: "ready", CallSeq: 1},
 		}))
-		runSidecar(t, far)
+		x.terminateFar = append(x.terminateFar, runSidecar(t, far))
 	}
 	x.near = x.newSidecar("near", "caller")
 	x.terminateNear = runSidecar(t, x.near)
--- a/internal/mesh/sidecar/flow_window.go
+++ b/internal/mesh/sidecar/flow_window.go
@@ -29,6 +29,18 @@
 	w.wakeWaiters()
 }
 
+// addIfExhausted enlarges the window by n bytes if it is open and nothing may be sent. It reports whether it did.
+func (w *flowWindow) addIfExhausted(n int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed || w.available > 0 {
+		return false
+	}
+	w.available += n
+	w.wakeWaiters()
+	return true
+}
+
 // close makes all present and future calls of acquire return false, because nothing more has to be sent.
 func (w *flowWindow) close() {
 	w.mu.Lock()
@@ -44,6 +56,13 @@
 	return w.closed
 }
 
+// hasCapacity reports whether acquire would not wait.
+func (w *flowWindow) hasCapacity() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.available > 0
+}
+
 // wakeWaiters wakes all goroutines that wait in acquire. The caller holds mu.
 func (w *flowWindow) wakeWaiters() {
 	if w.wake != nil {
--- a/internal/mesh/sidecar/sidecar.go
+++ b/internal/mesh/sidecar/sidecar.go
@@ -227,6 +227,7 @@
 	s.localServer.announceLeaving()
 	<-ticker.C // other sidecars learn that this one is leaving before it rejects their requests
 	s.inbound.draining.Store(true)
+	go s.inbound.enlargeBlockedWindows(ctx)
 	s.finishRequests(ctx, began.Add(limits.blockedRequests), ticker.C)
 	s.inbound.finishConns(ctx)
 	s.controlPlane.close()
