node: the requests of TestBodiesPassUnchanged have an id each

Two requests of a round had one id. No client sends that, and the node answers 409 to the second one while the first is open, which it may be for a moment after its answer. The test checks all that it did.

--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -114,6 +114,7 @@
 			n := startNode(t, testConfig(unusedAddr, listed("s", patternServer(t, size, framing, &ran))), nil)
 			for _, hasLength := range []bool{true, false} {
 				r := newRequest(t, n, "POST", "/order/1", "")
+				r.Header.Set("X-Correlation-Id", fmt.Sprint(framing, size, hasLength)) // two open requests may not share one
 				r.Body, r.ContentLength = io.NopCloser(&pattern{size: size}), int64(size)
 				if !hasLength {
 					r.ContentLength = -1
