front: a read deadline does not keep a connection that has been closed

By reading: net/http may set its read deadline once more just after a connection was closed in two steps. linger then waited for that, and with none for good, if the caller left its side open. The connection kept its place in the limits.

Change: SetReadDeadline looks whether the connection lingers after it has set the deadline, and makes it short again, so that neither order of the two is left.

--- a/internal/front/http1/connection.go
+++ b/internal/front/http1/connection.go
@@ -155,9 +155,13 @@
 	c.requestBegan.CompareAndSwap(0, at.UnixNano())
 }
 
-// SetReadDeadline implements net.Conn.
+// SetReadDeadline implements net.Conn. While the connection lingers, linger alone sets deadlines: with a later one it would
+// not notice that it has to give up.
 func (c *connection) SetReadDeadline(t time.Time) error {
 	err := c.Conn.SetReadDeadline(t)
+	if c.lingering.Load() { // checked afterwards, since it may have begun meanwhile
+		err = c.setLingerDeadline()
+	}
 	if c.pipeline != nil {
 		c.pipeline.setDeadline(t)
 	}
--- a/internal/front/http1/linger.go
+++ b/internal/front/http1/linger.go
@@ -67,7 +67,7 @@
 	defer buffers.Put(buffer)
 	unacknowledged, _ := conncheck.Unacknowledged(c.Conn)
 	for giveUpAt := time.Now().Add(lingerTime); time.Now().Before(giveUpAt); {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(endCheckInterval)) // fails only if the connection has ended
+		_ = c.setLingerDeadline() // fails only if the connection has ended
 		if _, err := c.Conn.Read(buffer[:]); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			break
 		}
@@ -84,6 +84,11 @@
 	}
 }
 
+// setLingerDeadline has linger look at the connection again soon, whatever its caller sends.
+func (c *connection) setLingerDeadline() error {
+	return c.Conn.SetReadDeadline(time.Now().Add(endCheckInterval))
+}
+
 // closeAcknowledged closes the connection that has lingered for longest with all that was written to it acknowledged. It
 // returns false if there is none. The caller holds the lock.
 func (l *connections) closeAcknowledged() bool {
--- a/internal/front/http1/linger_test.go
+++ b/internal/front/http1/linger_test.go
@@ -82,6 +82,27 @@
 	assert.Assert(t, time.Since(began) >= lingerTime, "closed after %v", time.Since(began))
 }
 
+// A read deadline that net/http sets on a connection which has just been closed does not keep it: before, one whose caller left its side open
+// stayed open until then, or for good.
+func TestReadDeadlineDoesNotKeepLingeringConnection(t *testing.T) {
+	t.Parallel()
+	for _, deadline := range []time.Time{{}, time.Now().Add(time.Hour)} {
+		l := newConnections(listen(t), newTestShare(t, 1))
+		_, accepted := connect(t, l)
+		acceptRequest(t, accepted)
+		assert.NilError(t, accepted.Close())
+		time.Sleep(endCheckInterval / 2) // linger has set its deadline
+		assert.NilError(t, accepted.SetReadDeadline(deadline))
+		began := time.Now()
+		for l.open() > 0 {
+			if time.Since(began) > lingerTime+time.Second {
+				t.Fatalf("the connection is still open with the deadline %v", deadline)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
 // A caller that takes a long answer slowly gets all of it, also if that takes longer than the time for lingering.
 func TestLingeringWaitsForSlowCaller(t *testing.T) {
 	t.Parallel()
