--- a/internal/mesh/testcluster/fakeapp.go
+++ b/internal/mesh/testcluster/fakeapp.go
@@ -164,6 +164,7 @@
 		return
 	}
 	a.recorder.recordRun(attempt, r.Header.Get("Operation-Key"), a.Instance)
+	defer a.recorder.recordEnd(attempt)
 	if onRun := a.onRun.Load(); onRun != nil {
 		(*onRun)(attempt)
 	}
