--- a/internal/mesh/testcluster/soak_excuses_test.go
+++ b/internal/mesh/testcluster/soak_excuses_test.go
@@ -14,8 +14,9 @@
 )
 
 // The rule LOST does not count a call whose deadline or route's time-out was reached, nor one at which its server was at work in the last sixth of GraceS,
-// if it was sent no later than 3 s after the SIGTERM of the machine that took it. It counts nothing after a SIGTERM of the server's machine alone; the soak
-// counts that, too, with the same excuse.
+// if it was sent no later than 3 s after the SIGTERM of the machine that took it. Around a SIGTERM of the server's machine
+// alone it counts nothing, but at any time it counts connections that end without an answer. So the soak counts both, and excuses there failures that are
+// answered alone.
 
 const (
 	// soakLateCallTime is how long after a SIGTERM a call may be sent that the rule excuses.
@@ -55,9 +56,10 @@
 		return true
 	}
 	for _, event := range a.processEvents {
-		isInvolved := event.machine == call.machine || slices.ContainsFunc(runs, func(instance string) bool {
+		isServers := isBrokenOff(call.status) && slices.ContainsFunc(runs, func(instance string) bool {
 			return strings.HasPrefix(instance, "i-"+event.machine+"-")
 		})
+		isInvolved := isServers || event.machine == call.machine
 		if event.what != soakTerminated || !isInvolved || call.sent.After(event.at.Add(soakLateCallTime)) {
 			continue
 		}
@@ -104,7 +106,7 @@
 	}
 }
 
-// After a SIGTERM of the server's machine the audit excuses a call in the last sixth, and no other.
+// After a SIGTERM of the server's machine the audit excuses a failure that is answered in the last sixth, and no other, nor a cut connection.
 func TestSoakExcusesAtServersMachine(t *testing.T) {
 	began := time.Now()
 	audit := soakAudit{planned: true, began: began, processEvents: []soakProcessEvent{{soakTerminated, "b", began}}}
@@ -112,6 +114,9 @@
 	work := workSpan{began: began.Add(2 * time.Second)}
 	assert.Assert(t, audit.isExcused(call, []string{"i-b-2"}, work))
 	assert.Assert(t, !audit.isExcused(call, []string{"i-c-2"}, work))
+	call.status = 0
+	assert.Assert(t, !audit.isExcused(call, []string{"i-b-2"}, work))
+	call.status = http.StatusBadGateway
 	call.ended = began.Add(2400 * time.Millisecond)
 	assert.Assert(t, !audit.isExcused(call, []string{"i-b-2"}, work))
 }
