--- a/internal/mesh/sidecar/connection_end_test.go
+++ b/internal/mesh/sidecar/connection_end_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -31,15 +30,7 @@
 // dialSlow opens a connection of a caller that receives little before it reads.
 func (x *callChain) dialSlow() *callerConn {
 	x.t.Helper()
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
-		controlErr := raw.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowReceiveBuffer)
-		})
-		if controlErr != nil {
-			return controlErr
-		}
-		return err
-	}}
+	dialer := net.Dialer{Control: testkit.LimitReceiveBuffer(slowReceiveBuffer)}
 	c, err := dialer.Dial("tcp4", x.outbound())
 	assert.NilError(x.t, err)
 	x.t.Cleanup(func() { c.Close() })
--- a/internal/mesh/testcluster/mixed_test.go
+++ b/internal/mesh/testcluster/mixed_test.go
@@ -71,14 +71,11 @@
 	if built == "" {
 		built = buildPrevious(t)
 	}
-	dir := t.TempDir()
 	for _, name := range ProgramNames {
-		here := filepath.Join(dir, name)
-		assert.NilError(t, os.Symlink(filepath.Join(built, name), here))
-		_, err := os.Stat(here)
+		_, err := os.Stat(filepath.Join(built, name))
 		assert.NilError(t, err, "%s is to hold the program %s", built, name)
 	}
-	return dir
+	return built
 }
 
 // buildPrevious builds the programs of previousCommit.
--- a/internal/mesh/testcluster/soak_callers_test.go
+++ b/internal/mesh/testcluster/soak_callers_test.go
@@ -12,13 +12,13 @@
 	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"cranegrade/internal/mesh/config"
+	"cranegrade/internal/testkit"
 )
 
 const (
@@ -239,7 +239,7 @@
 func (c *soakCaller) dial() bool {
 	var dialer net.Dialer
 	if c.kind == soakSlowPipeline {
-		dialer.Control = limitReceiveBuffer
+		dialer.Control = testkit.LimitReceiveBuffer(soakSlowBuffer)
 	}
 	conn, err := dialer.Dial("tcp", c.at.Addr("Outbound"))
 	if err != nil {
@@ -250,14 +250,6 @@
 	return true
 }
 
-// limitReceiveBuffer has a socket receive little ahead of its reader, so that most of a long answer waits at the sender.
-func limitReceiveBuffer(_, _ string, raw syscall.RawConn) (err error) {
-	controlErr := raw.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, soakSlowBuffer)
-	})
-	return errors.Join(controlErr, err)
-}
-
 func (c *soakCaller) close() {
 	if c.conn != nil {
 		c.conn.Close()
